Ask for a slot before large or risky calls cross to another proxy

Cause: refused uploads carried 60 KB between domains for nothing, and payments went to proxies that had just been cut off. A slot is kept first for bodies from 4 KB between domains and for calls that may not run twice to a proxy not heard for 0.1 s. Leaving targets are passed over for 1 s instead of 0.08 s.

--- a/lentilrouter/core/logbook.py
+++ b/lentilrouter/core/logbook.py
@@ -50,7 +50,7 @@
         if descriptor is not None:
             os.set_blocking(descriptor, False)
 
-    def event(self, kind, **fields):
+    def event(self, kind, /, **fields):
         """Note a change of belief, a start, a stop or a dependency."""
         line = {"at": round(self.wall(), 3), "node": self.node, "event": kind, **fields}
         if len(self.waiting) >= WAITING_LINES_MAX:
@@ -58,7 +58,7 @@
             self.lost += 1
         self.waiting.append(orjson.dumps(line, default=str) + b"\n")
 
-    def request(self, kind, id, **fields):
+    def request(self, kind, id, /, **fields):
         """Note a decision about one request, up to a rate for each kind of line."""
         now = self.clock()
         tokens, since = self.tokens.get(kind, (LINES_BURST, now))
--- a/lentilrouter/proxy/balancing.py
+++ b/lentilrouter/proxy/balancing.py
@@ -24,7 +24,10 @@
 
 @dataclasses.dataclass(slots=True)
 class View:
-    """Hold what this proxy saw of one target; times are monotonic seconds."""
+    """Hold what this proxy saw of one target; times are monotonic seconds.
+
+    ``heard_at`` is when it last ran a call, ``alive_at`` when its proxy last answered.
+    """
 
     in_flight: int = 0
     reported: float = 0.0
@@ -34,6 +37,7 @@
     refused_until: float = 0.0
     down: bool = False
     heard_at: float = 0.0
+    alive_at: float = 0.0
 
 
 class Balancer:
@@ -128,7 +132,7 @@
         """Note what a target's proxy told of its load."""
         view = self.view(host)
         view.reported = (load.running + load.waiting) / max(1, load.slots)
-        view.reported_at = now
+        view.reported_at = view.alive_at = now
 
     def answered(self, host, seconds, failed, now):
         """Note an answer of a target, the seconds it took and whether it failed."""
@@ -140,9 +144,9 @@
                 view.seconds = seconds
             view.seconds += EWMA_WEIGHT * (seconds - view.seconds)
 
-    def refused(self, host, now):
-        """Note that a target had no room."""
-        self.view(host).refused_until = now + REFUSED_SECONDS
+    def refused(self, host, now, seconds=REFUSED_SECONDS):
+        """Note that a target had no room; pass it over for ``seconds``."""
+        self.view(host).refused_until = now + seconds
 
     def unreachable(self, host):
         """Pass a host over until it answers a question; return if that is news."""
--- a/lentilrouter/proxy/budget.py
+++ b/lentilrouter/proxy/budget.py
@@ -5,9 +5,7 @@
 than the whole, without any exchange.
 """
 
-SAFETY = (
-    0.85  # of the allowance; calls at the window's edge and rejected sends use more
-)
+SAFETY = 0.85  # of the allowance; bursts at a window's edge use some more
 
 
 class Budget:
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -23,7 +23,10 @@
 CLOSE_MARGIN_SECONDS = 0.05  # a final answer leaves this long after the last moment
 FIRST_ERROR_STATUS = 500
 DEADLINE_STATUS = 504
+PLACE_BYTES = 4096  # a refusal of more than this wastes more than a round trip
+PLACE_AGE_SECONDS = 0.1  # a proxy heard within this time is taken to be there
 SIZE_WEIGHT = 0.1  # of the newest answer in a route's usual size
+LEAVING_SECONDS = 1.0  # until the news of a leaving target is here
 PROBE_SECONDS = 0.4
 PROBE_PAUSE_SECONDS = 0.4
 
@@ -176,6 +179,8 @@
         )
         if reason is outcomes.Reason.OVERLOADED:
             self.balancer.refused(target.host, services.clock())
+        elif reason in (outcomes.Reason.DRAINING, outcomes.Reason.UNREACHABLE):
+            self.balancer.refused(target.host, services.clock(), LEAVING_SECONDS)
         if result.arrived:
             call.arrivals += 1
             proxies = len(services.directory.by_host)
@@ -259,11 +264,39 @@
         return messages.Request(request.method, request.target, headers, request.body)
 
     async def _send(self, call, target, hop, passed):
-        services = self.services
+        if self._place_first(call, target):
+            placed = await self._exchange(call, target, _ask_place(hop))
+            if isinstance(placed, outcomes.Unknown):
+                # Keeping a slot runs nothing, so a lost answer loses nothing.
+                return hops.Refused(
+                    outcomes.NotRun(outcomes.Reason.UNREACHABLE, placed.detail)
+                )
+            if not isinstance(placed, hops.Placed):
+                return placed
+            hop.place = placed.token
+            hop.left = call.deadline - self.services.clock()
         header = (hops.HEADER, hop.encode())
         request = messages.Request(
             passed.method, passed.target, [*passed.headers, header], passed.body
         )
+        return await self._exchange(call, target, request)
+
+    def _place_first(self, call, target):
+        """Tell whether to ask for a slot before the call itself is sent.
+
+        Worth a round trip where a refusal would waste many bytes between domains, or
+        where a call that must not run twice would go to a proxy not heard lately.
+        """
+        if (
+            target.domain != self.balancer.domain
+            and len(call.request.body) >= PLACE_BYTES
+        ):
+            return True
+        age = self.services.clock() - self.balancer.view(target.host).alive_at
+        return not call.route.safe and age > PLACE_AGE_SECONDS
+
+    async def _exchange(self, call, target, request):
+        services = self.services
         left = call.deadline - services.clock() + CLOSE_MARGIN_SECONDS
         result = await services.peers.send(
             target.peer,
@@ -282,7 +315,7 @@
             if isinstance(outcome, outcomes.Answered):
                 failed = outcome.response.status >= FIRST_ERROR_STATUS
                 self.balancer.answered(target.host, outcome.run_seconds, failed, now)
-            elif not isinstance(outcome, hops.Refused):
+            elif isinstance(outcome, outcomes.Failed | outcomes.Unknown):
                 self.balancer.answered(target.host, 0.0, True, now)
             return outcome
         if isinstance(result, messages.NotSent):
@@ -379,6 +412,11 @@
         return response
 
 
+def _ask_place(hop):
+    headers = [(b"host", b"peer"), (hops.HEADER, hop.encode())]
+    return messages.Request("POST", hops.PLACE_PATH, headers)
+
+
 def _describe(outcome):
     if isinstance(outcome, outcomes.Answered):
         return f"status {outcome.response.status}"
--- a/lentilrouter/proxy/hops.py
+++ b/lentilrouter/proxy/hops.py
@@ -13,6 +13,7 @@
 
 HEADER = b"lentilrouter-hop"
 PATH_PREFIX = "/lentilrouter/"
+PLACE_PATH = PATH_PREFIX + "place"
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,7 +21,8 @@
     """Carry what the caller's proxy decided about a call.
 
     Times are seconds from now: ``left`` until the deadline, ``goal`` until an answer
-    loses worth, ``patience`` the longest wait for a slot.
+    loses worth, ``patience`` the longest wait for a slot. ``place`` is the token of a
+    slot that was kept for the call before.
     """
 
     target: str
@@ -32,6 +34,7 @@
     safe: bool
     caller: str
     suspect: bool = False
+    place: str = ""
 
     def encode(self):
         """Return the header's value."""
@@ -46,6 +49,7 @@
                 self.safe,
                 self.caller,
                 self.suspect,
+                self.place,
             ]
         )
 
@@ -53,8 +57,8 @@
 def decode(value):
     """Return the ``Hop`` in a header's value; raise ``ValueError`` if it is none."""
     fields = orjson.loads(value)
-    if not isinstance(fields, list) or len(fields) != 9:
-        raise ValueError("a hop has nine fields")
+    if not isinstance(fields, list) or len(fields) != 10:
+        raise ValueError("a hop has ten fields")
     return Hop(*fields)
 
 
@@ -78,7 +82,20 @@
     arrived: bool = False
 
 
-TAGS = {outcomes.Answered: 0, Refused: 1, outcomes.Failed: 2, outcomes.Unknown: 3}
+@dataclasses.dataclass(slots=True, frozen=True)
+class Placed:
+    """Carry the token of a slot that is kept for a call for a moment."""
+
+    token: str
+
+
+TAGS = {
+    outcomes.Answered: 0,
+    Refused: 1,
+    outcomes.Failed: 2,
+    outcomes.Unknown: 3,
+    Placed: 4,
+}
 BAD_GATEWAY = 502
 
 
@@ -90,6 +107,8 @@
         response = outcome.response
         status, headers, body = response.status, response.headers, response.body
         seconds = outcome.run_seconds
+    elif isinstance(outcome, Placed):
+        note = outcome.token
     elif isinstance(outcome, Refused):
         note = [outcome.outcome.reason, outcome.outcome.detail, outcome.arrived]
     else:
@@ -120,5 +139,7 @@
         reason, detail, arrived = note
         refusal = outcomes.NotRun(outcomes.Reason(reason), detail)
         return Refused(refusal, arrived), load
+    if tag == 4:
+        return Placed(note), load
     kind = outcomes.Failed if tag == 2 else outcomes.Unknown
     return kind(note[0], crashed=note[1], target=target), load
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -14,6 +14,7 @@
 REUSE_UNSAFE_SECONDS = 1.0  # a target may forget idle connections sooner than it says
 ANSWER_MARGIN_SECONDS = 0.03  # a target answers at its deadline; allow for the way
 LEAST_SECONDS = 0.004  # with less than this left a call is not handed to a target
+PLACE_SECONDS = 0.12  # a kept slot waits for its call: some round trips
 CRASH_SECONDS = 1.5  # a refused connection this soon after lost calls means a crash
 FIRST_ERROR_STATUS = 500
 
@@ -156,7 +157,15 @@
     callback ``target_changed`` that makes news of the target known.
     """
 
-    __slots__ = ("services", "belief", "gate", "evidence", "broken", "stopping")
+    __slots__ = (
+        "services",
+        "belief",
+        "gate",
+        "evidence",
+        "broken",
+        "stopping",
+        "places",
+    )
 
     def __init__(self, services):
         self.services = services
@@ -165,6 +174,7 @@
         self.evidence = evidence.Evidence()
         self.broken = []
         self.stopping = False
+        self.places = {}
 
     def hear(self, beat):
         """Take in a heartbeat and act on what it changes."""
@@ -244,42 +254,76 @@
         refusal = self._refusal(hop)
         if refusal is not None:
             return hops.Refused(refusal)
-        services = self.services
-        waiting = asyncio.get_running_loop().create_future()
+        own_gate, ticket = self.places.pop(hop.place, (None, None))
+        if ticket is None:
+            own_gate, ticket = self.gate, self._ticket(hop, started)
+            refusal = await self._take_slot(own_gate, ticket)
+            if refusal is not None:
+                return hops.Refused(refusal)
+        outcome = None
+        try:
+            outcome = await self._hand_over(hop, request, ticket)
+            return outcome
+        finally:
+            now = self.services.clock()
+            if isinstance(outcome, outcomes.Answered):
+                own_gate.release(ticket, now)
+            else:
+                own_gate.withdraw(ticket, now)
 
-        def on_turn(outcome):
-            if not waiting.done():
-                waiting.set_result(outcome)
+    async def keep_place(self, hop, started):
+        """Keep a slot for a call that follows; return ``hops.Placed`` or ``Refused``.
 
-        ticket = gate.Ticket(
+        A place that is not used within ``PLACE_SECONDS`` is given to others, so a lost
+        answer costs a slot for that long and nothing else.
+        """
+        refusal = self._refusal(hop)
+        if refusal is not None:
+            return hops.Refused(refusal)
+        own_gate, ticket = self.gate, self._ticket(hop, started)
+        refusal = await self._take_slot(own_gate, ticket)
+        if refusal is not None:
+            return hops.Refused(refusal)
+        token = f"{self.services.random.getrandbits(64):x}"
+        self.places[token] = (own_gate, ticket)
+        loop = asyncio.get_running_loop()
+        loop.call_later(PLACE_SECONDS, self._give_up_place, token)
+        return hops.Placed(token)
+
+    def _give_up_place(self, token):
+        own_gate, ticket = self.places.pop(token, (None, None))
+        if ticket is not None:
+            self.services.log.request("place-unused", "", kind=ticket.kind)
+            own_gate.withdraw(ticket, self.services.clock())
+
+    def _ticket(self, hop, started):
+        return gate.Ticket(
             kind=hop.kind,
             rank=hop.rank,
             deadline=started + hop.left,
             patience=hop.patience,
-            on_turn=on_turn,
             alone=hop.suspect,
         )
-        own_gate = self.gate
-        verdict = own_gate.offer(ticket, services.clock())
+
+    async def _take_slot(self, own_gate, ticket):
+        """Wait for a slot; return ``None`` once it is held, or a ``NotRun``."""
+        waiting = asyncio.get_running_loop().create_future()
+
+        def on_turn(outcome):
+            if not waiting.done():
+                waiting.set_result(outcome)
+
+        ticket.on_turn = on_turn
+        verdict = own_gate.offer(ticket, self.services.clock())
         if isinstance(verdict, outcomes.NotRun):
-            return hops.Refused(verdict)
-        ended = False
+            return verdict
+        if isinstance(verdict, gate.Admitted):
+            return None
         try:
-            if isinstance(verdict, gate.Queued):
-                refusal = await waiting
-                if refusal is not None:
-                    ended = True
-                    return hops.Refused(refusal)
-            outcome = await self._hand_over(hop, request, ticket)
-            ended = True
-            if isinstance(outcome, outcomes.Answered):
-                own_gate.release(ticket, services.clock())
-            else:
-                own_gate.withdraw(ticket, services.clock())
-            return outcome
-        finally:
-            if not ended:
-                own_gate.withdraw(ticket, services.clock())
+            return await waiting
+        except asyncio.CancelledError:
+            own_gate.withdraw(ticket, self.services.clock())
+            raise
 
     def _refusal(self, hop):
         target = self.belief.target
--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -342,7 +342,7 @@
                 id=entry.id,
                 ready=entry.ready,
                 open=entry.open,
-                at=result.revision,
+                revision=result.revision,
             )
             return True
         services.log.event("entry-not-written", result=str(result))
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+import traceback
 
 import anyio
 import orjson
@@ -126,6 +127,7 @@
         services, proxy = self.services, self.settings.proxy
         services.log.event("start", service=self.settings.target.service)
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._failed)
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGINT, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -149,6 +151,14 @@
         services.log.event("stop", active=self.callers.active + self.peers.active)
         services.log.flush()
 
+    def _failed(self, loop, context):
+        """Log a failure of the code itself; the request it belonged to is lost."""
+        error = context.get("exception")
+        trace = traceback.format_exception(error)[-3:] if error else []
+        self.services.log.event(
+            "code-failed", message=context["message"], error=repr(error), trace=trace
+        )
+
     async def _tick(self):
         services = self.services
         swept = 0.0
@@ -233,6 +243,9 @@
         except ValueError as error:
             services.log.event("hop-refused", reason=str(error))
             return messages.Response(400, [], b"")
+        if request.target == hops.PLACE_PATH:
+            outcome = await services.hosting.keep_place(hop, services.clock())
+            return hops.encode_outcome(outcome, services.hosting.load())
         passed = messages.Request(
             request.method,
             request.target,
