--- a/lentilrouter/proxy/counters.py
+++ b/lentilrouter/proxy/counters.py
@@ -26,6 +26,7 @@
         "unread",
         "version",
         "children",
+        "crossed",
     )
 
     def __init__(self):
@@ -50,6 +51,12 @@
         self.version = prometheus_client.Gauge(
             "lentilrouter_sheet_version", "Version of the sheet in force", **options
         )
+        self.crossed = prometheus_client.Counter(
+            "lentilrouter_crossed_bytes",
+            "Bytes of calls and answers between failure domains",
+            ["route", "ended"],
+            **options,
+        )
         self.children = {}
 
     def asked(self, route):
@@ -72,6 +79,19 @@
         """Count a call that was refused."""
         self.refusals.labels(cause).inc()
 
+    def crossing(self, route, ended, size):
+        """Count the bytes of a call that went to another failure domain."""
+        self.crossed.labels(route, ended).inc(size)
+
+    def crossed_by_route(self):
+        """Return bytes between domains so far by route and how the call ended."""
+        return {
+            f"{sample.labels['route']} {sample.labels['ended']}": int(sample.value)
+            for metric in self.crossed.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
     def not_read(self, status):
         """Count a request that was refused before it was read whole."""
         self.unread.labels(str(status)).inc()
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -25,6 +25,7 @@
 DEADLINE_STATUS = 504
 PLACE_BYTES = 4096  # a refusal of more than this wastes more than a round trip
 PLACE_AGE_SECONDS = 0.1  # a proxy heard within this time is taken to be there
+HEAD_BYTES = 40  # first line and length of a message
 SIZE_WEIGHT = 0.1  # of the newest answer in a route's usual size
 LEAVING_SECONDS = 1.0  # until the news of a leaving target is here
 PROBE_SECONDS = 0.4
@@ -306,6 +307,8 @@
             connect_seconds=CONNECT_SECONDS,
         )
         now = services.clock()
+        if target.domain != self.balancer.domain:
+            self._count_crossing(call, request, result)
         if isinstance(result, messages.Replied):
             try:
                 outcome, load = hops.decode_outcome(result.response, target.id)
@@ -327,6 +330,13 @@
             self._unreachable(target, result.detail)
         return outcomes.Unknown(f"{target.peer}: {result.detail}", host_silent=True)
 
+    def _count_crossing(self, call, request, result):
+        size, ended = _size(request), type(result).__name__.lower()
+        if isinstance(result, messages.Replied):
+            size += _size(result.response)
+            ended = "answered" if result.response.body else "refused"
+        self.services.counters.crossing(call.route.name, ended, size)
+
     def _unreachable(self, target, detail):
         """Pass a host over, and ask it until it answers again."""
         if not self.balancer.unreachable(target.host):
@@ -417,6 +427,12 @@
     return messages.Request("POST", hops.PLACE_PATH, headers)
 
 
+def _size(message):
+    """Return about how many bytes a message takes on the wire."""
+    head = sum(len(name) + len(value) + 4 for name, value in message.headers)
+    return HEAD_BYTES + head + len(message.body)
+
+
 def _describe(outcome):
     if isinstance(outcome, outcomes.Answered):
         return f"status {outcome.response.status}"
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -148,6 +148,7 @@
             tasks.cancel_scope.cancel()
         for each in self.servers:
             each.close()
+        services.log.event("crossed", bytes=services.counters.crossed_by_route())
         services.log.event("stop", active=self.callers.active + self.peers.active)
         services.log.flush()
 
