--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -148,6 +148,7 @@
                     return outcome
                 continue
             call.arrivals += 1
+            call.tried.add(target.host)
             outcome = result
             failed = not isinstance(result, outcomes.Answered) or (
                 result.response.status >= FIRST_ERROR_STATUS
--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -40,6 +40,9 @@
         self.leading[service] = loop.create_task(self._lead(service))
 
     def _open(self, service):
+        if not self.services.registry.scanned.is_set():
+            # An order without its move looks new, though it may have ended long ago.
+            return False
         found = self.services.registry.orders.get(service)
         if found is None or service in self.services.registry.stewards:
             return False
@@ -131,6 +134,8 @@
             if base == self.order.version:
                 held.state = moves.State.DONE
                 return await self._write(held, "already there")
+        if held.state is not moves.State.RUNNING:
+            return True
         now = services.clock()
         elapsed = max(now - self.seen, held.elapsed)
         if now - self.seen < held.elapsed:
--- /dev/null
+++ b/tests/proxy/doubles.py
@@ -0,0 +1,213 @@
+"""Build settings, sheets and whole proxies for tests."""
+
+import asyncio
+import itertools
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from lentilrouter.conf import defaults
+from lentilrouter.datapath import messages
+from lentilrouter.proxy import registry, sending
+from standins import target, vault
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+HOSTS = itertools.count(2)
+
+
+def settings(**proxy):
+    """Return the settings of a proxy beside a target of ``ledger``."""
+    values = {
+        "id": "n1",
+        "domain": "z1",
+        "address": "127.0.0.1",
+        "callers": "127.0.0.1:1",
+        "ready": "127.0.0.1:2",
+        "heartbeats": "127.0.0.1:3",
+        "peer_port": 4,
+        "metrics_port": 5,
+        **proxy,
+    }
+    return defaults.ProxySettings(
+        proxy=defaults.Proxy(**values),
+        target=defaults.LocalTarget(address="127.0.0.1:6", service="ledger"),
+        store=defaults.StoreAccess(address="127.0.0.1:7"),
+        promises=defaults.Promises(),
+        machine=defaults.Machine(),
+    )
+
+
+def config(version, *routes, services=("ledger",)):
+    """Return the operator's configuration as stored; routes are their specs."""
+    rows = [
+        {"kind_of": "routes", "meta": {"name": f"r{index}"}, "spec": spec}
+        for index, spec in enumerate(routes)
+    ]
+    rows += [
+        {"kind_of": "services", "meta": {"name": name}, "spec": {"max_conns": 50}}
+        for name in services
+    ]
+    limits = {"header_bytes": 8192, "body_bytes": 100000, "header_s": 1, "idle_s": 5}
+    rows.append({"kind_of": "limits", "meta": {}, "spec": limits})
+    return json.dumps({"version": f"{version:08x}", "resources": rows}).encode()
+
+
+def route(prefix="/read/", kind="safe", service="ledger", **fields):
+    """Return the spec of a route."""
+    return {
+        "host": "a.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_s": 1.0,
+        "goal_s": 0.5,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+        **fields,
+    }
+
+
+def free_ports(count):
+    """Return ports that nothing listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Machine:
+    """Run one proxy as a real process on a loopback address, with its target."""
+
+    def __init__(self, store, peer_port, service="ledger", **options):
+        self.ip = f"127.0.{next(HOSTS)}.1"
+        self.peer_port = peer_port
+        ports = free_ports(5)
+        self.callers, self.ready, self.heartbeats, app = (
+            f"{self.ip}:{port}" for port in ports[:4]
+        )
+        self.target = target.PlatformTarget(app, self.heartbeats, service, **options)
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = pathlib.Path(self.folder.name) / "proxy.ini"
+        self.path.write_text(
+            f"""[proxy]
+id = {self.ip}
+domain = z1
+address = {self.ip}
+callers = {self.callers}
+ready = {self.ready}
+heartbeats = {self.heartbeats}
+peer_port = {peer_port}
+metrics_port = {ports[4]}
+[target]
+address = {app}
+service = {service}
+[store]
+address = {store}
+"""
+        )
+        self.log_path = pathlib.Path(self.folder.name) / "log"
+        self.log_path.touch()
+        self.process = None
+
+    def start(self):
+        """Start the process."""
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "lentilrouter.platform.entry"],
+                cwd=ROOT,
+                env={**os.environ, "LENTILROUTER_BOOT": str(self.path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def kill(self, number=signal.SIGKILL):
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def lines(self):
+        """Return the lines logged so far."""
+        return self.log_path.read_text().splitlines()
+
+    def close(self):
+        """End process and target and remove files."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+        self.target.close()
+        self.folder.cleanup()
+
+
+class Mesh:
+    """Run a store stand-in and some machines."""
+
+    def __init__(self):
+        self.store = vault.VaultServer()
+        self.machines = []
+        self.client = sending.Client()
+        self.ids = itertools.count(1)
+
+    async def start(self, count, **options):
+        """Start the store and ``count`` machines, and wait until they serve."""
+        port, peer_port = free_ports(2)
+        self.address = f"127.0.0.1:{port}"
+        self.peer_port = peer_port
+        await self.store.start(self.address)
+        for _ in range(count):
+            await self.add(**options)
+        for machine in self.machines:
+            await self.until_ready(machine)
+        # Between two answers of a watch lies a pause; then all know one another.
+        await asyncio.sleep(registry.PAUSE_SECONDS + 0.2)
+
+    async def add(self, **options):
+        """Start one more machine."""
+        machine = Machine(self.address, self.peer_port, **options)
+        self.machines.append(machine)
+        await machine.target.start()
+        machine.start()
+        return machine
+
+    async def until_ready(self, machine, seconds=10.0):
+        """Wait until a proxy says it is ready and has heard its target."""
+        async with asyncio.timeout(seconds):
+            while await self.status(machine.ready, "/v1/readyz") != 200:
+                await asyncio.sleep(0.05)
+            while await machine.target.beat() != 200:
+                await asyncio.sleep(0.05)
+            key = f"lentilrouter/targets/{machine.ip}"
+            while b'"open":true' not in (self.store.value(key) or b""):
+                await asyncio.sleep(0.05)
+
+    async def status(self, address, path):
+        """Return the status of a plain question, 0 for no answer."""
+        request = messages.Request("GET", path, [(b"host", b"x")])
+        result = await self.client.send(address, request, 1.0)
+        return result.response.status if isinstance(result, messages.Replied) else 0
+
+    async def call(self, machine, path="/read/1", method="GET", body=b"", id=None):
+        """Send one call as a caller and return the response, or the outcome."""
+        id = id or f"c{next(self.ids)}"
+        headers = [
+            (b"host", b"a.example"),
+            (b"x-request-id", id.encode()),
+            (b"x-deadline-ms", b"1000"),
+            (b"x-caller", b"somebody else"),
+            (b"x-kept", b"yes"),
+        ]
+        request = messages.Request(method, path, headers, body)
+        result = await self.client.send(machine.callers, request, 3.0)
+        return result.response if isinstance(result, messages.Replied) else result
+
+    def close(self):
+        """End everything that was started."""
+        for machine in self.machines:
+            machine.close()
+        self.client.close()
+        self.store.close()
--- /dev/null
+++ b/tests/proxy/test_path.py
@@ -0,0 +1,184 @@
+"""Whole calls through real proxies, with stand-ins for store and targets."""
+
+import asyncio
+import json
+import signal
+import unittest
+
+from tests.proxy import doubles
+
+
+class PathTests(unittest.IsolatedAsyncioTestCase):
+    """Run a mesh of two machines beside a store."""
+
+    async def asyncSetUp(self):
+        self.mesh = doubles.Mesh()
+        self.addCleanup(self.mesh.close)
+        routes = [
+            doubles.route(),
+            doubles.route("/pay/", "unsafe"),
+            doubles.route("/big/", "upload"),
+        ]
+        self.mesh.store.put("op/config", doubles.config(7, *routes))
+        await self.mesh.start(2)
+        self.first, self.second = self.mesh.machines
+
+    async def test_call_reaches_a_target_with_what_it_expects(self):
+        response = await self.mesh.call(self.first, id="c-1")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, b"answer to c-1")
+        self.assertEqual(response.header(b"x-server-stamp"), "stamp")
+        ran = self.first.target.ran + self.second.target.ran
+        self.assertEqual(len(ran), 1)
+        _, path, headers, _ = ran[0]
+        self.assertEqual(path, "/read/1")
+        self.assertEqual(headers[b"x-caller"], b"ledger")
+        self.assertEqual(headers[b"x-kept"], b"yes")
+        self.assertLessEqual(int(headers[b"x-deadline-ms"]), 1000)
+        self.assertNotIn(b"lentilrouter-hop", headers)
+
+    async def test_unknown_route_is_answered_404(self):
+        response = await self.mesh.call(self.first, "/nowhere/1")
+        self.assertEqual(response.status, 404)
+
+    async def test_calls_beyond_the_slots_wait_or_are_refused_truly(self):
+        for machine in self.mesh.machines:
+            machine.target.work = 0.15
+        results = await asyncio.gather(
+            *(self.mesh.call(self.first, f"/read/{n}", id=f"m{n}") for n in range(24))
+        )
+        statuses = [result.status for result in results]
+        self.assertEqual(set(statuses) - {200, 503, 504}, set())
+        self.assertGreaterEqual(statuses.count(200), 4)
+        ran = {row[0] for m in self.mesh.machines for row in m.target.ran}
+        refused = {f"m{n}" for n, status in enumerate(statuses) if status == 503}
+        self.assertEqual(ran & refused, set())
+        for result in results:
+            if result.status == 503:
+                self.assertGreater(float(result.header(b"retry-after")), 0)
+        for machine in self.mesh.machines:
+            self.assertLessEqual(machine.target.peak, machine.target.slots)
+
+    async def test_failing_safe_call_is_sent_to_another_target(self):
+        self.first.target.fault = "error"
+        response = await self.mesh.call(self.first)
+        self.assertEqual(response.status, 200)
+
+    async def test_failing_payment_is_not_sent_again(self):
+        self.first.target.fault = self.second.target.fault = "error"
+        response = await self.mesh.call(self.first, "/pay/1", "POST", b"x")
+        self.assertEqual(response.status, 500)
+        ran = self.first.target.ran + self.second.target.ran
+        self.assertEqual(len(ran), 1)
+
+    async def test_payment_that_was_shed_goes_to_another_target(self):
+        self.first.target.fault = "shed"
+        response = await self.mesh.call(self.first, "/pay/1", "POST", b"x")
+        self.assertEqual(response.status, 200)
+
+    async def test_success_without_proof_is_not_passed_on(self):
+        self.first.target.fault = self.second.target.fault = "unsigned"
+        response = await self.mesh.call(self.first, "/pay/1", "POST", b"x")
+        self.assertEqual(response.status, 502)
+
+    async def test_draining_target_gets_nothing_more(self):
+        self.first.target.state = "draining"
+        self.assertEqual(await self.first.target.beat(), 200)
+        for n in range(6):
+            response = await self.mesh.call(self.second, f"/read/{n}")
+            self.assertEqual(response.status, 200)
+        self.assertEqual(self.first.target.ran, [])
+
+    async def test_caller_that_leaves_ends_the_work(self):
+        self.second.target.work = self.first.target.work = 30.0
+        task = asyncio.create_task(self.mesh.call(self.first))
+        await asyncio.sleep(0.3)
+        task.cancel()
+        await asyncio.sleep(0.4)
+        targets = (self.first.target, self.second.target)
+        self.assertEqual([target.running for target in targets], [0, 0])
+        self.assertEqual(sum(target.cancelled for target in targets), 1)
+
+    async def test_body_over_the_limit_is_refused(self):
+        response = await self.mesh.call(self.first, "/big/1", "POST", b"x" * 100001)
+        self.assertEqual(response.status, 413)
+
+    async def test_new_sheet_is_in_force_soon_and_an_older_one_never(self):
+        routes = [doubles.route("/new/")]
+        self.mesh.store.put("op/config", doubles.config(9, *routes))
+        async with asyncio.timeout(3):
+            while (await self.mesh.call(self.first, "/new/1")).status != 200:
+                await asyncio.sleep(0.05)
+        self.mesh.store.put("op/config", doubles.config(8, doubles.route()))
+        await asyncio.sleep(1.0)
+        self.assertEqual((await self.mesh.call(self.first, "/new/1")).status, 200)
+        self.assertEqual((await self.mesh.call(self.first, "/read/1")).status, 404)
+
+    async def test_restarted_proxy_serves_with_the_target_that_lived_on(self):
+        # A proxy that shut down left its target entered as leaving, and the next
+        # process believed that for good: each restart lost a target.
+        self.second.kill(signal.SIGTERM)
+        await asyncio.to_thread(self.second.process.wait, 10)
+        self.second.start()
+        await self.mesh.until_ready(self.second)
+        self.assertEqual(await self.second.target.beat(), 200)
+        before = len(self.second.target.ran)
+        async with asyncio.timeout(5):
+            while len(self.second.target.ran) == before:
+                await self.mesh.call(self.second)
+
+    async def test_restarted_proxy_learns_from_others_while_the_store_is_away(self):
+        self.mesh.store.fault = "busy"
+        self.second.kill()
+        await asyncio.to_thread(self.second.process.wait, 10)
+        for n in range(4):  # the first proxy notices that the second is gone
+            await self.mesh.call(self.first, f"/read/{n}")
+        self.first.target.work = 0.2
+        await asyncio.gather(
+            *(self.mesh.call(self.first, f"/read/{n}") for n in range(8))
+        )
+        self.second.start()
+        async with asyncio.timeout(6):
+            while (await self.mesh.status(self.second.ready, "/v1/readyz")) != 200:
+                await asyncio.sleep(0.05)
+        self.assertEqual((await self.mesh.call(self.second)).status, 200)
+
+    async def test_proxies_serve_on_while_the_store_is_silent(self):
+        self.mesh.store.fault = "silent"
+        await asyncio.sleep(1.5)
+        for machine in self.mesh.machines:
+            self.assertEqual((await self.mesh.call(machine)).status, 200)
+
+    async def test_shutdown_answers_what_is_in_flight(self):
+        self.first.target.work = self.second.target.work = 1.0
+        task = asyncio.create_task(self.mesh.call(self.first))
+        await asyncio.sleep(0.2)
+        self.first.kill(signal.SIGTERM)
+        response = await task
+        self.assertIn(response.status, (200, 504))
+        await asyncio.to_thread(self.first.process.wait, 10)
+        self.assertEqual(self.first.process.returncode, 0)
+
+    async def test_log_lines_are_json_with_an_event(self):
+        await self.mesh.call(self.first, "/nowhere/1", id="lost-1")
+        await asyncio.sleep(0.6)
+        lines = [json.loads(line) for line in self.first.lines()]
+        found = [line for line in lines if line.get("id") == "lost-1"]
+        self.assertEqual(found[0]["event"], "no-route")
+        self.assertEqual(found[0]["sheet"], 7)
+
+
+class NoSheetTests(unittest.IsolatedAsyncioTestCase):
+    """Run a proxy that knows no sheet."""
+
+    async def test_calls_are_refused_as_not_run(self):
+        mesh = doubles.Mesh()
+        self.addCleanup(mesh.close)
+        await mesh.start(0)
+        machine = await mesh.add()
+        async with asyncio.timeout(10):
+            while await mesh.status(machine.ready, "/v1/readyz") != 503:
+                await asyncio.sleep(0.05)
+        response = await mesh.call(machine)
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.header(b"retry-after")), 0)
