--- /dev/null
+++ b/tests/platform/test_reading.py
@@ -0,0 +1,98 @@
+"""Translate what the operator and the targets say, good and bad."""
+
+import json
+import unittest
+
+from lentilrouter.datapath import messages
+from lentilrouter.platform import beats, sheets
+from lentilrouter.proxy import hosting, moves
+from tests.proxy import doubles
+
+
+class SheetTests(unittest.TestCase):
+    """Read configurations."""
+
+    def test_route_is_read_whole(self):
+        split = [{"service": "ledger", "weight": 90}, {"service": "b", "weight": 10}]
+        spec = doubles.route(kind="upload", split=split)
+        del spec["service"]
+        value = doubles.config(0x1C, spec, services=("ledger", "b"))
+        sheet = sheets.read_sheet(value)
+        route = sheet.match("a.example", "/read/x")
+        self.assertEqual(sheet.version, 28)
+        self.assertFalse(route.safe)
+        self.assertEqual([part.weight for part in route.parts], [90, 10])
+        self.assertEqual(sheet.limits.body_bytes, 100000)
+
+    def test_bad_configurations_are_refused_with_a_reason(self):
+        good = json.loads(doubles.config(7, doubles.route()))
+        cases = {
+            "kind": {"kind": "sometimes"},
+            "attempts": {"attempts": 0},
+            "service": {"service": "unknown"},
+            "prefix": {"prefix": "/read"},
+            "timeout": {"timeout_s": -1},
+            "type": {"goal_s": "soon"},
+        }
+        for name, change in cases.items():
+            with self.subTest(name):
+                bad = json.loads(json.dumps(good))
+                bad["resources"][0]["spec"].update(change)
+                result = sheets.read_sheet(json.dumps(bad).encode())
+                self.assertIsInstance(result, sheets.Unreadable)
+                self.assertTrue(result.reason)
+        for value in (b"", b"{", b"[]", b"7", b"\xff\xfe", doubles.config(7)[:-9]):
+            self.assertIsInstance(sheets.read_sheet(value), sheets.Unreadable)
+
+    def test_order_and_status(self):
+        order = sheets.read_order(b'{"service":"ledger","to":"v2","over_s":12}')
+        self.assertEqual(order, moves.Order("ledger", "v2", 12.0))
+        self.assertIsInstance(sheets.read_order(b'{"to":1}'), sheets.Unreadable)
+        key, value = sheets.write_status("ledger", "v2", moves.State.TAKEN_BACK)
+        self.assertEqual(key, "status/rollout/ledger")
+        self.assertEqual(json.loads(value)["state"], "rolled_back")
+
+
+class BeatTests(unittest.TestCase):
+    """Read heartbeats."""
+
+    GOOD = {
+        "addr": "10.0.0.1:80",
+        "born": 17,
+        "info": {"service": "ledger", "version": "v1", "zone": "z", "slots": 6},
+        "status": {"state": "ready", "seq": 4, "cold_left_s": 1.5},
+    }
+
+    def read(self, body, call="instances.beat", id="i-1"):
+        target = f"/v1/rpc?call={call}&of={id}"
+        return beats.read(messages.Request("POST", target, [], body))
+
+    def test_good_beat(self):
+        said = self.read(json.dumps(self.GOOD).encode())
+        self.assertEqual((said.id, said.born, said.sequence), ("i-1", 17, 4))
+        self.assertIs(said.state, hosting.State.READY)
+
+    def test_leave(self):
+        said = self.read(b'{"born":17}', "instances.leave")
+        self.assertEqual(said, hosting.Leave("i-1", 17))
+        self.assertEqual(self.read(b"", "instances.leave").born, 0)
+
+    def test_bad_beats_name_no_target(self):
+        changes = [
+            ("status", "state", "asleep"),
+            ("status", "seq", "4"),
+            ("status", "seq", True),
+            ("info", "slots", 6.5),
+            ("info", "service", 7),
+            ("info", "version", None),
+        ]
+        for section, field, value in changes:
+            bad = json.loads(json.dumps(self.GOOD))
+            bad[section][field] = value
+            with self.subTest(field=field, value=value):
+                said = self.read(json.dumps(bad).encode())
+                self.assertIsInstance(said, beats.Unreadable)
+        for body in (b"", b"{", b"[1]", b'"x"', b"\xff", b'{"info":{}}'):
+            self.assertIsInstance(self.read(body), beats.Unreadable)
+        self.assertIsInstance(self.read(b"{}", "other"), beats.Unreadable)
+        self.assertIsInstance(self.read(b"{}", id=""), beats.Unreadable)
--- /dev/null
+++ b/tests/proxy/test_decisions.py
@@ -0,0 +1,166 @@
+"""Pure decisions of a proxy: choice, budget, versions, evidence."""
+
+import random
+import types
+import unittest
+
+from lentilrouter.moves import evidence, judging
+from lentilrouter.proxy import balancing, budget, directory, hops, moves
+
+
+def target(host, domain="z1", **fields):
+    """Return a target on a host."""
+    values = {
+        "id": f"i-{host}",
+        "service": "ledger",
+        "version": "v1",
+        "domain": domain,
+        "host": host,
+        "peer": f"{host}:1",
+        "slots": 6,
+        "ready": True,
+        "born": 1,
+        **fields,
+    }
+    return directory.Target(**values)
+
+
+class BalancerTests(unittest.TestCase):
+    """Choose among targets."""
+
+    def setUp(self):
+        self.balancer = balancing.Balancer("z1", "h1", random.Random(4))
+
+    def choose(self, targets, tried=(), local=None, size=0.0):
+        chosen = self.balancer.choose(targets, {}, set(tried), 10.0, local, size)
+        return chosen and chosen.host
+
+    def test_target_on_the_same_host_is_taken_while_it_has_room(self):
+        targets = [target("h1"), target("h2")]
+        self.assertEqual(self.choose(targets, local=0.2), "h1")
+
+    def test_calls_stay_in_their_domain_until_it_is_full(self):
+        targets = [target("h2"), target("h9", "z2")]
+        self.assertEqual({self.choose(targets) for _ in range(50)}, {"h2"})
+        self.balancer.loaded("h2", hops.Load(6, 8, 6), 10.0)
+        self.assertEqual(self.choose(targets), "h9")
+
+    def test_large_calls_leave_their_domain_only_if_it_has_no_target(self):
+        targets = [target("h2"), target("h9", "z2")]
+        self.balancer.loaded("h2", hops.Load(6, 60, 6), 10.0)
+        self.assertEqual(self.choose(targets, size=60000), "h2")
+        self.balancer.unreachable("h2")
+        self.assertEqual(self.choose(targets, size=60000), "h9")
+
+    def test_tried_and_refusing_targets_are_passed_over(self):
+        targets = [target("h2"), target("h3"), target("h4")]
+        self.balancer.refused("h3", 10.0)
+        self.assertEqual(self.choose(targets, tried={"h2"}), "h4")
+
+    def test_failing_target_gets_less(self):
+        targets = [target("h2"), target("h3")]
+        for _ in range(20):
+            self.balancer.answered("h2", 0.1, True, 10.0)
+        self.assertEqual({self.choose(targets) for _ in range(50)}, {"h3"})
+
+
+class BudgetTests(unittest.TestCase):
+    """Repeat calls on many proxies within one allowance."""
+
+    def test_all_proxies_together_stay_within_the_allowance(self):
+        proxies = [budget.Budget(0.2, 62.0) for _ in range(12)]
+        spent = asked = 0
+        for _ in range(400):
+            for each in proxies:
+                each.earn("ledger", 12)
+                asked += 1
+                spent += each.spend("ledger", 12)
+                spent += each.spend("ledger", 12)
+        self.assertLessEqual(spent, 0.2 * asked + 62)
+        self.assertGreater(spent, 0.1 * asked)
+
+
+class VersionTests(unittest.TestCase):
+    """Share calls between versions while a move runs."""
+
+    def setUp(self):
+        self.bases = moves.Bases()
+        self.bases.base["ledger"] = "v1"
+        self.move = moves.Move("ledger", "v1", "v2", 5, moves.State.RUNNING, 0.05, 1.0)
+
+    def versions(self, count=1000, available=("v1", "v2")):
+        return [self.bases.version("ledger", "r", set(available)) for _ in range(count)]
+
+    def test_version_without_an_order_gets_nothing(self):
+        self.assertEqual(set(self.versions()), {"v1"})
+
+    def test_share_is_kept_to_the_call(self):
+        self.bases.moves["ledger"] = self.move
+        self.assertEqual(self.versions().count("v2"), 50)
+
+    def test_version_that_was_taken_back_gets_nothing(self):
+        self.move.state = moves.State.TAKEN_BACK
+        self.bases.moves["ledger"] = self.move
+        self.assertEqual(set(self.versions()), {"v1"})
+        self.assertTrue(self.bases.left_behind("ledger", "v2"))
+
+    def test_old_version_gets_nothing_at_the_full_share(self):
+        self.move.share = 1.0
+        self.bases.moves["ledger"] = self.move
+        self.assertEqual(set(self.versions()), {"v2"})
+        self.assertTrue(self.bases.left_behind("ledger", "v1"))
+
+    def test_planned_exposure_is_below_a_tenth_until_the_last_stage(self):
+        seconds, step, exposed = 16.0, 0.1, 0.0
+        now = 0.0
+        while now < moves.STAGES[-1][0] * seconds:
+            exposed += step * moves.planned_share(now, seconds, calls=10**6)
+            now += step
+        self.assertLess(exposed / seconds, 0.1)
+
+
+class TailJudgeTests(unittest.TestCase):
+    """Judge a new version on what both versions did in the same seconds."""
+
+    def setUp(self):
+        self.judge = judging.JUDGES.get("tail")(judging.Limits())
+        self.total = evidence.Evidence()
+        self.pair = types.SimpleNamespace(old="v1", new="v2")
+        self.random = random.Random(7)
+
+    def tick(self, now, old_fails, new_fails, new_slow=0.0):
+        for _ in range(150):
+            failed = self.random.random() < old_fails
+            seconds = 0.06 * self.random.uniform(0.5, 2.0)
+            self.total.note("v1", "r", failed, seconds)
+        for _ in range(8):
+            failed = self.random.random() < new_fails
+            slow = 8.0 if self.random.random() < new_slow else 1.0
+            seconds = 0.06 * self.random.uniform(0.5, 2.0) * slow
+            self.total.note("v2", "r", failed, seconds)
+        return self.judge.judge(self.total, self.pair, now)
+
+    def run_ticks(self, ticks, **rates):
+        for number in range(ticks):
+            verdict = self.tick(number * 0.4, **rates)
+            if isinstance(verdict, judging.Bad):
+                return number
+        return None
+
+    def test_failing_version_is_found_within_seconds(self):
+        found = self.run_ticks(20, old_fails=0.004, new_fails=0.5)
+        self.assertLess(found, 4)
+
+    def test_slow_version_is_found_within_seconds(self):
+        found = self.run_ticks(20, old_fails=0.004, new_fails=0.004, new_slow=0.5)
+        self.assertLess(found, 8)
+
+    def test_good_version_stays(self):
+        self.assertIsNone(self.run_ticks(60, old_fails=0.004, new_fails=0.004))
+
+    def test_failures_of_both_at_the_same_time_speak_against_neither(self):
+        # A service that both call was away: the new version was taken back for it.
+        self.assertIsNone(self.run_ticks(20, old_fails=0.004, new_fails=0.004))
+        for number in range(20, 30):
+            verdict = self.tick(number * 0.4, old_fails=0.3, new_fails=0.3)
+            self.assertNotIsInstance(verdict, judging.Bad)
--- /dev/null
+++ b/tests/proxy/test_gate.py
@@ -0,0 +1,81 @@
+"""Admission beside one target, in virtual time."""
+
+import unittest
+
+from lentilrouter.core import outcomes
+from lentilrouter.proxy import gate
+
+
+def ticket(rank=1, deadline=10.0, patience=1.0, **fields):
+    """Return a ticket that notes in ``ended`` how its wait ended."""
+    ended = []
+    made = gate.Ticket("k", rank, deadline, patience, on_turn=ended.append, **fields)
+    return made, ended
+
+
+class GateTests(unittest.TestCase):
+    """Offer tickets and follow them."""
+
+    def setUp(self):
+        self.gate = gate.Gate(2)
+
+    def fill(self):
+        running = [ticket()[0], ticket()[0]]
+        for item in running:
+            self.assertEqual(self.gate.offer(item, 0.0), gate.Admitted())
+        return running
+
+    def test_never_more_than_the_slots(self):
+        self.fill()
+        self.assertEqual(self.gate.offer(ticket()[0], 0.0), gate.Queued())
+        self.assertEqual(len(self.gate.running), 2)
+
+    def test_urgent_calls_go_first(self):
+        running = self.fill()
+        late, late_ended = ticket(rank=2)
+        urgent, urgent_ended = ticket(rank=0)
+        self.gate.offer(late, 0.0)
+        self.gate.offer(urgent, 0.0)
+        self.gate.release(running[0], 0.1)
+        self.assertEqual((urgent_ended, late_ended), ([None], []))
+
+    def test_impatient_call_is_refused_at_once(self):
+        self.fill()
+        refused = self.gate.offer(ticket(patience=0.0)[0], 0.0)
+        self.assertIs(refused.reason, outcomes.Reason.OVERLOADED)
+
+    def test_call_that_cannot_end_in_time_is_refused_when_its_turn_comes(self):
+        running = self.fill()
+        waiting, ended = ticket(deadline=0.5)
+        self.gate.offer(waiting, 0.0)
+        self.gate.release(running[0], 0.49)
+        self.assertIs(ended[0].reason, outcomes.Reason.DEADLINE)
+        self.assertEqual(len(self.gate.running), 1)
+
+    def test_caller_that_leaves_frees_its_slot(self):
+        running = self.fill()
+        waiting, ended = ticket()
+        self.gate.offer(waiting, 0.0)
+        self.gate.withdraw(running[0], 0.1)
+        self.assertEqual(ended, [None])
+        self.gate.withdraw(waiting, 0.2)
+        self.assertEqual(len(self.gate.running), 1)
+
+    def test_closed_gate_refuses_all(self):
+        self.fill()
+        waiting, ended = ticket()
+        self.gate.offer(waiting, 0.0)
+        self.gate.close(outcomes.Reason.DRAINING)
+        self.assertIs(ended[0].reason, outcomes.Reason.DRAINING)
+        refused = self.gate.offer(ticket()[0], 0.0)
+        self.assertIs(refused.reason, outcomes.Reason.DRAINING)
+
+    def test_suspect_runs_alone(self):
+        first, _ = ticket()
+        self.gate.offer(first, 0.0)
+        suspect, ended = ticket(alone=True)
+        self.gate.offer(suspect, 0.0)
+        self.assertEqual(ended, [])
+        self.gate.release(first, 0.1)
+        self.assertEqual(ended, [None])
+        self.assertEqual(self.gate.offer(ticket()[0], 0.1), gate.Queued())
--- /dev/null
+++ b/tests/proxy/test_hosting.py
@@ -0,0 +1,89 @@
+"""What a proxy believes of the target beside it, in virtual time."""
+
+import dataclasses
+import unittest
+
+from lentilrouter.proxy import hosting
+from tests.proxy import doubles
+
+
+def beat(sequence=1, born=100, **fields):
+    """Return a heartbeat of the local target."""
+    values = {
+        "id": "i-1",
+        "born": born,
+        "sequence": sequence,
+        "address": "127.0.0.1:6",
+        "service": "ledger",
+        "version": "v1",
+        "slots": 6,
+        "state": hosting.State.READY,
+        "cold_seconds": 0.0,
+        **fields,
+    }
+    return hosting.Beat(**values)
+
+
+class BeliefTests(unittest.TestCase):
+    """Feed heartbeats in every order."""
+
+    def setUp(self):
+        self.belief = hosting.Belief(doubles.settings())
+
+    def assert_ignored(self, result):
+        self.assertIsInstance(result, hosting.Ignored)
+
+    def test_first_beat_changes_later_ones_do_not(self):
+        self.assertEqual(self.belief.hear(beat(1), 0.0), hosting.Accepted(True))
+        self.assertEqual(self.belief.hear(beat(2), 1.5), hosting.Accepted(False))
+
+    def test_late_beat_is_ignored(self):
+        self.belief.hear(beat(5), 0.0)
+        self.assert_ignored(self.belief.hear(beat(4, slots=9), 1.0))
+        self.assertEqual(self.belief.target.slots, 6)
+
+    def test_beat_of_an_earlier_incarnation_is_ignored(self):
+        self.belief.hear(beat(1, born=200, id="i-2"), 0.0)
+        self.assert_ignored(self.belief.hear(beat(90, born=100), 1.0))
+        self.assertEqual(self.belief.target.id, "i-2")
+
+    def test_same_id_started_again_counts_anew(self):
+        self.belief.hear(beat(50), 0.0)
+        draining = beat(51, state=hosting.State.DRAINING)
+        self.belief.hear(draining, 1.0)
+        again = beat(1, born=300)
+        self.assertEqual(self.belief.hear(again, 2.0), hosting.Accepted(True))
+        self.assertTrue(self.belief.target.ready)
+
+    def test_draining_binds_whatever_comes_later(self):
+        self.belief.hear(beat(1), 0.0)
+        self.belief.hear(beat(2, state=hosting.State.DRAINING), 1.0)
+        self.belief.hear(beat(3), 2.0)
+        self.assertFalse(self.belief.target.ready)
+
+    def test_leave_binds_and_a_strangers_leave_does_not(self):
+        self.belief.hear(beat(1), 0.0)
+        self.assert_ignored(self.belief.leave(hosting.Leave("i-9", 0), 1.0))
+        self.assertTrue(self.belief.target.ready)
+        self.belief.leave(hosting.Leave("i-1", 100), 1.0)
+        self.belief.hear(beat(2), 2.0)
+        self.assertFalse(self.belief.target.ready)
+
+    def test_foreign_address_and_service_are_ignored(self):
+        self.assert_ignored(self.belief.hear(beat(address="127.0.0.9:6"), 0.0))
+        self.assert_ignored(self.belief.hear(beat(service="other"), 0.0))
+        self.assertIsNone(self.belief.target)
+
+    def test_silent_target_is_believed_again_after_a_beat(self):
+        self.belief.hear(beat(1), 0.0)
+        self.assertTrue(self.belief.check(60.0))
+        self.assertFalse(self.belief.target.ready)
+        self.belief.hear(beat(2), 61.0)
+        self.assertTrue(self.belief.target.ready)
+
+    def test_entry_of_a_closed_proxy_does_not_speak_of_its_target(self):
+        self.belief.hear(beat(1), 0.0)
+        entry = dataclasses.replace(self.belief.target, open=False)
+        fresh = hosting.Belief(doubles.settings())
+        fresh.restore(entry, 0.0)
+        self.assertIs(fresh.state, hosting.State.READY)
