--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -15,7 +15,6 @@
 ANSWER_MARGIN_SECONDS = 0.03  # a target answers at its deadline; allow for the way
 LEAST_SECONDS = 0.004  # with less than this left a call is not handed to a target
 PLACE_SECONDS = 0.12  # a kept slot waits for its call: some round trips
-CRASH_SECONDS = 1.5  # a refused connection this soon after lost calls means a crash
 FIRST_ERROR_STATUS = 500
 
 
@@ -162,7 +161,6 @@
         "belief",
         "gate",
         "evidence",
-        "broken",
         "stopping",
         "places",
     )
@@ -172,7 +170,6 @@
         self.belief = Belief(services.settings)
         self.gate = gate.Gate(1)
         self.evidence = evidence.Evidence()
-        self.broken = []
         self.stopping = False
         self.places = {}
 
@@ -373,12 +370,11 @@
         if isinstance(result, messages.Replied):
             return self._judge_answer(result.response, target, seconds, id)
         if isinstance(result, messages.NotSent):
-            if "timed out" not in result.detail and self.belief.target is target:
+            if self.belief.target is target:
                 self._lost(target, result.detail)
             refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
             return hops.Refused(refusal)
         if isinstance(result, messages.Broken):
-            self.broken.append(self.services.clock())
             if result.started:
                 return outcomes.Failed(result.detail, target=target.id)
             return outcomes.Unknown(result.detail, target=target.id)
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -31,6 +31,7 @@
 )
 
 TICK_SECONDS = 0.25
+TARGET_UNHEARD_MS = 400  # the target is on the same host; finds silent connections
 TEACH_SECONDS = 1.0  # for one message of some 100 KB
 READY_OUT_SECONDS = 2.3  # two questions a second apart without a 200, and the way
 HAND_OVER_SECONDS = 0.8  # before that, other proxies hear that calls go elsewhere
@@ -56,7 +57,7 @@
         self.holder = registry.Holder()
         self.directory = directory.Directory()
         self.bases = moves.Bases()
-        self.workers = sending.Client()
+        self.workers = sending.Client(unheard_ms=TARGET_UNHEARD_MS)
         self.peers = sending.Client(idle_limit=PEER_IDLE_SECONDS)
         store_client = sending.Client(
             silent_checks=True, idle_limit=STORE_RETRY_IDLE_SECONDS
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -20,6 +20,12 @@
 IDLE_MARGIN_SECONDS = 1.0  # a stated idle time is in whole seconds, rounded down
 KEEP_ALIVE_IDLE_SECONDS = 1  # finds a silent connection within about three seconds
 KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -196,12 +202,19 @@
 
 
 class Client:
-    """Keep connections to addresses and send whole requests over them."""
+    """Keep connections to addresses and send whole requests over them.
 
-    __slots__ = ("idle", "silent_checks", "idle_limit", "opened")
+    With ``silent_checks`` the kernel probes idle connections; with ``unheard_ms`` it
+    ends one whose bytes the other side did not confirm within that time.
+    """
 
-    def __init__(self, silent_checks=False, idle_limit=DEFAULT_IDLE_SECONDS):
+    __slots__ = ("idle", "silent_checks", "idle_limit", "opened", "unheard_ms")
+
+    def __init__(
+        self, silent_checks=False, idle_limit=DEFAULT_IDLE_SECONDS, unheard_ms=None
+    ):
         self.idle = {}
+        self.unheard_ms = unheard_ms
         self.idle_limit = idle_limit
         self.silent_checks = silent_checks
         self.opened = 0
@@ -263,7 +276,10 @@
         except OSError as error:
             return messages.NotSent(f"connect {address}: {error}")
         if self.silent_checks:
-            _find_silence(transport)
+            _set_options(transport, KEEP_ALIVE)
+        if self.unheard_ms:
+            user_timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            _set_options(transport, [(*user_timeout, self.unheard_ms)])
         return protocol
 
     def _release(self, address, connection):
@@ -296,15 +312,9 @@
             self.drop(address)
 
 
-def _find_silence(transport):
+def _set_options(transport, options):
     """Let the kernel find a connection that went silent without a reset."""
     sock = transport.get_extra_info("socket")
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-    )
     # Where an option is missing the time-outs of each call still find the silence.
     with contextlib.suppress(OSError):
         for level, name, value in options:
