--- a/lentilrouter/conf/checks.py
+++ b/lentilrouter/conf/checks.py
@@ -2,17 +2,20 @@
 
 import pathlib
 
-from lentilrouter.conf import loader
+from lentilrouter.conf import defaults, loader
 from lentilrouter.core import problems, registry
 from lentilrouter.sheet import codec, rules
 
 CHECKS = registry.Registry("check")
+PROXY_CHECKS = registry.Registry("check of a proxy")
 LEASE_MIN_RENEWALS_SECONDS = 1.0
 
 
-def run(settings=None, sheet=None):
-    """Return every problem in an INI file and in a sheet; both are paths."""
+def run(settings=None, sheet=None, proxy=None):
+    """Return every problem in INI files and in a sheet; all are paths."""
     found = []
+    if proxy is not None:
+        found += check_proxy(proxy)
     if settings is not None:
         found += check_settings(settings)
     if sheet is not None:
@@ -28,6 +31,14 @@
     return [problem for check in CHECKS for problem in check(outcome.settings)]
 
 
+def check_proxy(path):
+    """Return the problems of a proxy's INI file, those between settings included."""
+    outcome = loader.load(path, defaults.ProxySettings)
+    if isinstance(outcome, loader.Rejected):
+        return outcome.problems
+    return [problem for check in PROXY_CHECKS for problem in check(outcome.settings)]
+
+
 def check_sheet(path):
     """Return the problems of a sheet."""
     try:
@@ -38,6 +49,26 @@
     return found or rules.check(services)
 
 
+@PROXY_CHECKS.register("lease")
+def check_proxy_lease(settings):
+    """Require a lease that the store grants and that bears a lost renewal."""
+    store = settings.store
+    if store.lease_seconds < store.lease_min_seconds:
+        yield problems.Problem(
+            "settings.W003",
+            "store.lease_seconds",
+            "is shorter than the store grants",
+            f"at least {store.lease_min_seconds}",
+        )
+    if store.timeout_seconds >= store.lease_seconds:
+        yield problems.Problem(
+            "settings.W002",
+            "store.timeout_seconds",
+            "leaves no time to renew a lease",
+            f"below {store.lease_seconds}",
+        )
+
+
 @CHECKS.register("times")
 def check_times(settings):
     """Require time limits that fit together."""
--- a/lentilrouter/conf/reference.py
+++ b/lentilrouter/conf/reference.py
@@ -16,20 +16,38 @@
 """
 
 
+PROXY_HEAD = """# Settings of a proxy
+
+The proxy beside one target on the users' platform reads an INI file of its own, which
+the platform fills in from `deploy/proxy.ini`. `lentilrouter check --proxy FILE` checks
+it. A key with a default may be left empty.
+"""
+
+
 def render():
     """Return the page as Markdown."""
     lines = [HEAD]
     for section in dataclasses.fields(defaults.Settings):
-        lines += [f"## [{section.name}]", "", section.type.__doc__.splitlines()[0], ""]
-        lines += [
-            "| key | type | default | allowed | meaning |",
-            "|---|---|---|---|---|",
-        ]
-        lines += [_row(field) for field in dataclasses.fields(section.type)]
-        lines.append("")
+        lines += _section(section)
+    lines += [PROXY_HEAD]
+    for section in dataclasses.fields(defaults.ProxySettings):
+        lines += _section(section)
     return "\n".join(lines)
 
 
+def _section(section):
+    return [
+        f"## [{section.name}]",
+        "",
+        section.type.__doc__.splitlines()[0],
+        "",
+        "| key | type | default | allowed | meaning |",
+        "|---|---|---|---|---|",
+        *(_row(field) for field in dataclasses.fields(section.type)),
+        "",
+    ]
+
+
 def _row(field):
     meta = field.metadata
     allowed = ""
--- a/lentilrouter/management/cli.py
+++ b/lentilrouter/management/cli.py
@@ -74,11 +74,15 @@
 
 @app.command()
 def check(
-    settings: str = typer.Option(None, help="INI file to check."),
+    settings: str = typer.Option(None, help="INI file of a node to check."),
+    proxy: str = typer.Option(None, help="INI file of a proxy to check."),
     sheet: str = typer.Option(None, help="Sheet (JSON) to check."),
 ):
-    """Check settings or a sheet and list every problem."""
-    found = checks.run(settings=settings, sheet=sheet)
+    """Check settings or a sheet and list every problem.
+
+    Example: ``lentilrouter check --proxy proxy.ini``; exits with 1 if any was found.
+    """
+    found = checks.run(settings=settings, sheet=sheet, proxy=proxy)
     if found:
         _fail(found)
     typer.echo("no problems")
--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -4,7 +4,7 @@
 import tempfile
 import unittest
 
-from lentilrouter.conf import checks, loader, reference
+from lentilrouter.conf import checks, defaults, loader, reference
 
 GOOD = """
 [node]
@@ -75,3 +75,51 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ProxySettingsTests(unittest.TestCase):
+    """Load the settings of a proxy as the platform fills them in."""
+
+    GOOD = """[proxy]
+id = a
+domain = z
+address = 10.0.0.1
+callers = 10.0.0.1:1
+ready = 10.0.0.1:2
+heartbeats = 10.0.0.1:3
+peer_port = 4
+metrics_port = 5
+[target]
+address = 10.0.0.1:6
+service = ledger
+beat_seconds =
+[store]
+address = 10.0.0.9:7
+[promises]
+drain_seconds = 2.5
+"""
+
+    def load(self, text):
+        return loader.parse(text, defaults.ProxySettings)
+
+    def test_empty_value_means_the_default(self):
+        settings = self.load(self.GOOD).settings
+        self.assertEqual(settings.target.beat_seconds, 1.5)
+        self.assertEqual(settings.promises.drain_seconds, 2.5)
+
+    def test_every_problem_is_named(self):
+        bad = self.GOOD.replace("10.0.0.1:2", "somewhere").replace("= 4", "= 99999")
+        found = self.load(bad.replace("service = ledger", "service ="))
+        places = [problem.where for problem in found.problems]
+        self.assertIn("proxy.peer_port", places)
+        self.assertIn("target.service", places)
+        found = self.load(self.GOOD.replace("10.0.0.1:2", "somewhere"))
+        self.assertEqual([p.where for p in found.problems], ["proxy.ready"])
+
+    def test_a_lease_shorter_than_the_store_grants_is_found(self):
+        text = self.GOOD.replace("[store]", "[store]\nlease_min_seconds = 30")
+        with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
+            file.write(text)
+            file.flush()
+            found = checks.run(proxy=file.name)
+        self.assertEqual([problem.id for problem in found], ["settings.W003"])
