Order waiting calls of one rank by their goals, and shed those pushed too far back

Ruled out: repeats by the proxies alone (bounded by the allowance), lost targets (load was real).

Tests failed first (order by arrival).

--- a/lentilrouter/proxy/gate.py
+++ b/lentilrouter/proxy/gate.py
@@ -1,9 +1,11 @@
 """Admit calls to the target beside this proxy. No input or output.
 
 Only this proxy reaches the target, so the count of its slots in use is exact. Calls
-that wait are ordered by rank, then by arrival. A call is refused at once when its
-expected wait is longer than its patience: a refused caller can come back or go
-elsewhere, one that is held and then refused has only lost time.
+that wait are ordered by rank, then by the time at which their answer loses worth: short
+calls with a close goal go before long ones that can wait. A call is refused at once
+when its expected wait is longer than its patience: a refused caller can come back or go
+elsewhere, one that is held and then refused has only lost time. For the same reason a
+waiting call is refused as soon as more urgent ones push its turn too far back.
 """
 
 import bisect
@@ -14,23 +16,27 @@
 MEAN_START_SECONDS = 0.05  # before anything was measured; replaced within a few calls
 MEAN_WEIGHT = 0.1
 HALF_DONE = 0.5  # what runs has on average half of its work left
+SHED_FACTOR = 1.5  # of its patience: a call pushed back beyond this is refused
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Ticket:
     """Represent one call at the gate; times are monotonic seconds.
 
-    ``patience`` is the longest expected wait that the call accepts. ``on_turn`` is
-    called with ``None`` when the call gets its slot, or with a ``NotRun``.
+    ``patience`` is the longest expected wait that the call accepts, ``goal`` when its
+    answer loses worth. ``on_turn`` is called with ``None`` when the call gets its slot,
+    or with a ``NotRun``.
     """
 
     kind: str
     rank: int
     deadline: float
     patience: float
+    goal: float = 0.0
     on_turn: object = None
     alone: bool = False
     started: float = 0.0
+    queued: float = 0.0
     order: tuple = ()
 
 
@@ -69,17 +75,20 @@
         """Return the usual seconds of a kind of call at this target."""
         return self.means.get(kind, MEAN_START_SECONDS)
 
-    def expected_wait(self, rank, now):
-        """Return the seconds until a call of a rank would get a slot."""
+    def expected_wait(self, order, now):
+        """Return the seconds until a call with this place in the order gets a slot."""
         if len(self.running) < self.slots and not self.queue:
             return 0.0
-        work = sum(
+        work = self._work_running(now)
+        work += sum(self.mean(t.kind) for t in self.queue if t.order <= order)
+        return work / max(1, self.slots)
+
+    def _work_running(self, now):
+        return sum(
             max(HALF_DONE * self.mean(t.kind), self.mean(t.kind) - (now - t.started))
             * HALF_DONE
             for t in self.running
         )
-        work += sum(self.mean(t.kind) for t in self.queue if t.rank <= rank)
-        return work / max(1, self.slots)
 
     def offer(self, ticket, now):
         """Return ``Admitted``, ``Queued`` or ``NotRun`` for a new call."""
@@ -90,14 +99,31 @@
         if not self.queue and self._fits(ticket):
             self._start(ticket, now)
             return Admitted()
-        wait = self.expected_wait(ticket.rank, now)
+        self.count += 1
+        ticket.order = (ticket.rank, ticket.goal, self.count)
+        wait = self.expected_wait(ticket.order, now)
         if wait > ticket.patience or now + wait >= ticket.deadline:
             return _overloaded(f"expected wait {wait:.3f} s")
-        self.count += 1
-        ticket.order = (ticket.rank, self.count)
+        ticket.queued = now
         bisect.insort(self.queue, ticket, key=lambda item: item.order)
+        self._shed(ticket, now)
         return Queued()
 
+    def _shed(self, newest, now):
+        """Refuse those behind the newest whose turn has moved too far back."""
+        work = self._work_running(now)
+        kept, shed = [], []
+        for ticket in self.queue:
+            wait = now - ticket.queued + work / max(1, self.slots)
+            if ticket.order > newest.order and wait > SHED_FACTOR * ticket.patience:
+                shed.append(ticket)
+                continue
+            work += self.mean(ticket.kind)
+            kept.append(ticket)
+        self.queue = kept
+        for ticket in shed:
+            ticket.on_turn(_overloaded("more urgent calls came"))
+
     def release(self, ticket, now):
         """Free the slot of a call that ended and admit what waits."""
         self.running.discard(ticket)
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -299,6 +299,7 @@
             rank=hop.rank,
             deadline=started + hop.left,
             patience=hop.patience,
+            goal=started + hop.goal,
             alone=hop.suspect,
         )
 
--- a/tests/proxy/test_gate.py
+++ b/tests/proxy/test_gate.py
@@ -39,6 +39,24 @@
         self.gate.release(running[0], 0.1)
         self.assertEqual((urgent_ended, late_ended), ([None], []))
 
+    def test_close_goals_go_before_far_ones_of_the_same_rank(self):
+        # Uploads with a far goal waited ahead of short calls, which were all refused.
+        running = self.fill()
+        far, far_ended = ticket(goal=0.3)
+        near, near_ended = ticket(goal=0.06)
+        self.gate.offer(far, 0.0)
+        self.gate.offer(near, 0.0)
+        self.gate.release(running[0], 0.05)
+        self.assertEqual((near_ended, far_ended), ([None], []))
+
+    def test_call_pushed_too_far_back_is_refused_at_once(self):
+        self.fill()
+        far, far_ended = ticket(goal=0.3, patience=0.05)
+        self.assertEqual(self.gate.offer(far, 0.0), gate.Queued())
+        for number in range(6):
+            self.gate.offer(ticket(goal=0.06 + number / 1000)[0], 0.01)
+        self.assertIs(far_ended[0].reason, outcomes.Reason.OVERLOADED)
+
     def test_impatient_call_is_refused_at_once(self):
         self.fill()
         refused = self.gate.offer(ticket(patience=0.0)[0], 0.0)
