--- a/lentilrouter/conf/defaults.py
+++ b/lentilrouter/conf/defaults.py
@@ -198,9 +198,6 @@
 class Promises:
     """State the bounds that the proxies keep together."""
 
-    drain_seconds: float = _seconds(
-        2.0, "after a target said it leaves, it gets no call later than this"
-    )
     grace_seconds: float = _seconds(6.0, "time from SIGTERM to SIGKILL")
     retry_share: float = option(
         0.2, help="repeated sends of a service as a share of its calls", low=0, high=1
@@ -208,24 +205,9 @@
     retry_extra: float = option(
         60.0, help="repeated sends allowed on top in a window", low=0, high=1e6
     )
-    retry_window_seconds: float = _seconds(10.0, "window of the two figures above")
     expose_share: float = option(
         0.1, help="share of calls a bad version may get", low=0, high=1
     )
-    expose_extra: float = option(
-        50.0, help="calls a bad version may get on top", low=0, high=1e6
-    )
-    rollback_seconds: float = _seconds(
-        5.0, "a version seen to be bad gets no call later than this"
-    )
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Machine:
-    """State the limits of the host."""
-
-    memory_mb: float = option(300.0, help="memory of the process", low=32, high=1e6)
-    descriptors: int = option(4100, help="open descriptors", low=256, high=10**7)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -236,4 +218,3 @@
     target: LocalTarget
     store: StoreAccess
     promises: Promises
-    machine: Machine
--- a/lentilrouter/proxy/moves.py
+++ b/lentilrouter/proxy/moves.py
@@ -10,11 +10,11 @@
 
 import orjson
 
-FIRST_SHARE = 0.05  # about half of the share that a bad version may get in all
+USUAL_EXPOSURE = 0.1  # share of calls a bad version may get that the stages are for
+FIRST_SHARE = 0.05  # half of that
 STAGES = ((0.5, FIRST_SHARE), (0.62, 0.15), (0.7, 0.4))
 FINISH_AT = 0.78  # of the time given; old targets are idle by then
 EVIDENCE_MIN = 40  # calls of the new version before its share grows
-LATE_AT = 1.0
 
 
 class State(enum.StrEnum):
@@ -67,10 +67,12 @@
     return move
 
 
-def planned_share(elapsed, seconds, calls):
+def planned_share(elapsed, seconds, calls, exposure=USUAL_EXPOSURE):
     """Return the share of the new version ``elapsed`` seconds after the order.
 
-    ``calls`` is how many the new version has answered.
+    ``calls`` is how many the new version has answered, ``exposure`` the share of calls
+    that a bad version may get: where less is allowed, all stages before the last are
+    smaller.
 
     >>> planned_share(1.0, 16.0, calls=10)
     0.05
@@ -79,12 +81,13 @@
     >>> planned_share(12.0, 16.0, calls=10)
     0.05
     """
+    scale = min(1.0, exposure / USUAL_EXPOSURE)
     if calls < EVIDENCE_MIN:
-        return FIRST_SHARE
-    part = elapsed / seconds if seconds > 0 else LATE_AT
+        return FIRST_SHARE * scale
+    part = elapsed / seconds if seconds > 0 else 1.0
     for until, share in STAGES:
         if part < until:
-            return share
+            return share * scale
     return 1.0
 
 
--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -156,7 +156,12 @@
                 for (version, _), tally in total.tallies.items()
                 if version == held.new
             )
-            share = moves.planned_share(elapsed, self.order.seconds, calls)
+            share = moves.planned_share(
+                elapsed,
+                self.order.seconds,
+                calls,
+                services.settings.promises.expose_share,
+            )
             if isinstance(verdict, judging.Doubtful):
                 share = min(share, max(held.share, moves.FIRST_SHARE))
             share = max(share, held.share)
--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -96,7 +96,7 @@
 [store]
 address = 10.0.0.9:7
 [promises]
-drain_seconds = 2.5
+grace_seconds = 2.5
 """
 
     def load(self, text):
@@ -105,7 +105,7 @@
     def test_empty_value_means_the_default(self):
         settings = self.load(self.GOOD).settings
         self.assertEqual(settings.target.beat_seconds, 1.5)
-        self.assertEqual(settings.promises.drain_seconds, 2.5)
+        self.assertEqual(settings.promises.grace_seconds, 2.5)
 
     def test_every_problem_is_named(self):
         bad = self.GOOD.replace("10.0.0.1:2", "somewhere").replace("= 4", "= 99999")
--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -38,7 +38,6 @@
         target=defaults.LocalTarget(address="127.0.0.1:6", service="ledger"),
         store=defaults.StoreAccess(address="127.0.0.1:7"),
         promises=defaults.Promises(),
-        machine=defaults.Machine(),
     )
 
 
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -117,6 +117,7 @@
             exposed += step * moves.planned_share(now, seconds, calls=10**6)
             now += step
         self.assertLess(exposed / seconds, 0.1)
+        self.assertEqual(moves.planned_share(1.0, 16.0, 10**6, exposure=0.04), 0.02)
 
 
 class TailJudgeTests(unittest.TestCase):
