--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -165,3 +165,31 @@
         for number in range(20, 30):
             verdict = self.tick(number * 0.4, old_fails=0.3, new_fails=0.3)
             self.assertNotIsInstance(verdict, judging.Bad)
+
+
+class UnderLoadTests(unittest.TestCase):
+    """Move to a version that fails only once its targets are loaded."""
+
+    def test_version_that_fails_under_load_gets_a_tenth_at_most(self):
+        # Known red: vgst-mesh mix --seed 858309603209 on the users' bench.
+        rng = random.Random(8)
+        judge = judging.JUDGES.get("tail")(judging.Limits())
+        total, pair = evidence.Evidence(), types.SimpleNamespace(old="v1", new="v2")
+        seconds, tick, rate = 10.0, 0.4, 700
+        share = exposed = asked = calls = 0
+        taken_back = False
+        for step in range(int(seconds / tick)):
+            count = int(rate * tick)
+            asked += count
+            new = 0 if taken_back else int(count * share)
+            fails = 0.5 if share >= 1.0 else 0.004
+            for index in range(count):
+                version = "v2" if index < new else "v1"
+                failed = rng.random() < (fails if version == "v2" else 0.004)
+                total.note(version, "r", failed, 0.06)
+            exposed, calls = exposed + new, calls + new
+            verdict = judge.judge(total, pair, step * tick)
+            taken_back = taken_back or isinstance(verdict, judging.Bad)
+            share = moves.planned_share(step * tick, seconds, calls)
+        self.assertTrue(taken_back)
+        self.assertLessEqual(exposed, 0.1 * asked + 50)
