Refuse calls that took down three targets, in the proxy too

Change: a target's proxy that loses a connection without an answer looks whether the target still accepts connections; if not, the call is noted with the target's incarnation and told to all proxies. In flight at three deaths without an answer in between, it is refused (503, not run) by caller's and target's proxy for ten minutes. Ruled out as evidence: a broken connection alone (targets lose answers).

Test: CrashTests with five real proxies; with the limit set to 99 it fails (5 targets down, 3 allowed).

--- a/lentilrouter/proxy/exchange.py
+++ b/lentilrouter/proxy/exchange.py
@@ -10,6 +10,7 @@
 
 CATCH_UP_PATH = hops.PATH_PREFIX + "catch-up"
 HALT_PATH = hops.PATH_PREFIX + "halt"
+CRASH_PATH = hops.PATH_PREFIX + "crash"
 TELL_SECONDS = 0.35  # for one message to each proxy, a lost packet included
 NO_SHEET = b"no sheet"
 
@@ -47,16 +48,16 @@
     return items
 
 
-def decode_halt(body):
-    """Return service and order of a halted move; raise ``ValueError`` if it is none.
+def decode_row(body, *kinds):
+    """Return a message of as many fields of these types; raise ``ValueError`` if not.
 
-    >>> decode_halt(b'["ledger", 7]')
-    ('ledger', 7)
+    >>> decode_row(b'["ledger", 7]', str, int)
+    ['ledger', 7]
     """
     row = orjson.loads(body)
-    if not isinstance(row, list) or [type(field) for field in row] != [str, int]:
-        raise ValueError(f"no halt: {row!r}"[:100])
-    return tuple(row)
+    if not isinstance(row, list) or [type(field) for field in row] != list(kinds):
+        raise ValueError(f"other fields are due: {row!r}"[:100])
+    return row
 
 
 async def tell_all(services, path, body):
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -90,6 +90,9 @@
             return _plain(404, "no route")
         deadline = started + self._allowed(request, route)
         call = Call(request, route, id, started, deadline)
+        if services.crashes.convicted_call(request):
+            reason = outcomes.Reason.CRASHES_TARGETS
+            return self._refuse(id, call, "it took down several targets", reason)
         call.service = self._part(route)
         services.counters.asked(route.name)
         outcome = await self._carry(call)
@@ -154,6 +157,8 @@
                 result.response.status >= FIRST_ERROR_STATUS
                 and result.response.status != DEADLINE_STATUS
             )
+            if isinstance(result, outcomes.Answered):
+                services.crashes.cleared_call(call.request)
             if not failed or not self._may_repeat(call, proxies):
                 return outcome
             services.log.request(
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -249,6 +249,9 @@
     async def run(self, hop, request, started):
         """Run a call at the target; return an outcome or ``hops.Refused``."""
         refusal = self._refusal(hop)
+        if refusal is None and self.services.crashes.convicted_call(request):
+            reason = outcomes.Reason.CRASHES_TARGETS
+            refusal = outcomes.NotRun(reason, "it took down several targets")
         if refusal is not None:
             return hops.Refused(refusal)
         own_gate, ticket = self.places.pop(hop.place, (None, None))
@@ -364,6 +367,10 @@
         )
         ended = services.clock()
         outcome = self._judge(result, target, ended - now, id)
+        if isinstance(outcome, outcomes.Answered):
+            services.crashes.cleared_call(request)
+        elif isinstance(result, messages.Broken) and not result.started:
+            outcome = await self._look_after(outcome, request, target)
         self._note(hop, target, outcome, ended)
         return outcome
 
@@ -381,6 +388,17 @@
             return outcomes.Unknown(result.detail, target=target.id)
         return outcomes.Unknown(result.detail, late=True, target=target.id)
 
+    async def _look_after(self, outcome, request, target):
+        """Find out whether a target that broke a connection off has died."""
+        services = self.services
+        address = services.settings.target.address
+        if await services.workers.listens(address, CONNECT_SECONDS):
+            return outcome
+        if self.belief.target is target:
+            self._lost(target, "died with calls in flight")
+        services.crashed(request, target)
+        return dataclasses.replace(outcome, crashed=True)
+
     def _judge_answer(self, response, target, seconds, id):
         not_run = response.header(self.services.dialect.NOT_RUN) is not None
         if not_run or response.status == 421:
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -17,6 +17,7 @@
     balancing,
     budget,
     counters,
+    crashing,
     directory,
     exchange,
     forwarding,
@@ -29,6 +30,7 @@
     sheets,
     stewarding,
 )
+from lentilrouter.routing import quarantine
 
 TICK_SECONDS = 0.25
 TARGET_UNHEARD_MS = 400  # the target is on the same host; finds silent connections
@@ -67,6 +69,8 @@
         self.vault = platform.open_vault(
             store_client, settings.store.address, settings.store.timeout_seconds
         )
+        self.crashes = crashing.Crashes()
+        self.telling = set()
         self.hosting = hosting.Hosting(self)
         self.registry = registry.Registry(self)
         self.steward = stewarding.Steward(self)
@@ -114,6 +118,30 @@
         result = await self.peers.send(peer, request, TEACH_SECONDS)
         self.log.event("taught", peer=peer, result=type(result).__name__)
 
+    def crashed(self, request, target):
+        """Note a call in flight as its target died, and tell the other proxies."""
+        fingerprint = quarantine.fingerprint(request)
+        incarnation = f"{target.id} {target.born}"
+        if self.note_crash(fingerprint, incarnation):
+            body = orjson.dumps([fingerprint, incarnation])
+            loop = asyncio.get_running_loop()
+            telling = exchange.tell_all(self, exchange.CRASH_PATH, body)
+            task = loop.create_task(telling)
+            self.telling.add(task)
+            task.add_done_callback(self.telling.discard)
+
+    def note_crash(self, fingerprint, incarnation):
+        """Note that a target died with a call in flight; return if that is news."""
+        news = self.crashes.note(fingerprint, incarnation, self.clock())
+        if news:
+            self.log.event(
+                "crash",
+                fingerprint=fingerprint,
+                target=incarnation,
+                refused_now=self.crashes.convicted(fingerprint),
+            )
+        return news
+
     def on_order(self, service):
         """Let the steward look at a move."""
         self.steward.notice(service)
@@ -205,6 +233,7 @@
                 services.steward.tick()
                 services.workers.close_idle()
                 services.peers.close_idle()
+                services.crashes.expire(now)
                 services.forwarder.balancer.forget(services.directory.by_host)
                 for each in self.servers:
                     each.sweep(now)
@@ -299,26 +328,26 @@
         if request.path == TARGET_PATH:
             entry = self.services.registry.entry()
             return messages.Response(200, JSON_TYPE, entry.encode() if entry else b"")
-        if request.path == exchange.CATCH_UP_PATH:
-            try:
-                items = exchange.decode(request.body)
-            except ValueError as error:
-                self.services.log.event("catch-up-refused", reason=str(error))
-                return messages.Response(400, [], b"")
-            self.services.registry.catch_up(items)
-            return messages.Response(200, [], b"")
-        if request.path == exchange.HALT_PATH:
-            return self._answer_halt(request)
-        return messages.Response(404, [], b"")
+        return self._answer_news(request)
 
-    def _answer_halt(self, request):
+    def _answer_news(self, request):
+        """Take in what another proxy tells."""
+        services, body = self.services, request.body
         try:
-            service, order = exchange.decode_halt(request.body)
+            if request.path == exchange.CATCH_UP_PATH:
+                services.registry.catch_up(exchange.decode(body))
+            elif request.path == exchange.HALT_PATH:
+                service, order = exchange.decode_row(body, str, int)
+                if services.bases.halt(service, order):
+                    services.log.event("move-halted", service=service, order=order)
+            elif request.path == exchange.CRASH_PATH:
+                fingerprint, target = exchange.decode_row(body, str, str)
+                services.note_crash(fingerprint, target)
+            else:
+                return messages.Response(404, [], b"")
         except ValueError as error:
-            self.services.log.event("halt-refused", reason=str(error))
+            services.log.event("news-refused", path=request.path, reason=str(error))
             return messages.Response(400, [], b"")
-        if self.services.bases.halt(service, order):
-            self.services.log.event("move-halted", service=service, order=order)
         return messages.Response(200, [], b"")
 
     async def _answer_metrics(self, request):
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -250,6 +250,14 @@
         self._release(address, connection)
         return outcome
 
+    async def listens(self, address, seconds):
+        """Tell whether a new connection to an address can be made."""
+        connection = await self._connect(address, seconds)
+        if isinstance(connection, messages.NotSent):
+            return False
+        self._release(address, connection)
+        return True
+
     def _reuse(self, address, reuse_seconds):
         pool = self.idle.get(address)
         now = time.monotonic()
--- a/standins/target.py
+++ b/standins/target.py
@@ -15,8 +15,9 @@
     """Run requests in slots, send heartbeats, and misbehave when told.
 
     ``fault`` is one of ``error`` (500), ``shed`` (503, not run), ``unsigned`` (200
-    without proof) and ``silent``, or empty. ``ran`` holds what was run: request id,
-    path, headers and body.
+    without proof) and ``silent``, or empty. A request for a path that ends in ``crash``
+    takes the target down. ``ran`` holds what was run: request id, path, headers and
+    body.
     """
 
     born = itertools.count(1_779_000_000_000)
@@ -99,6 +100,8 @@
         self.peak = max(self.peak, self.running)
         self.ran.append((id, request.target, dict(request.headers), request.body))
         try:
+            if request.target.endswith("crash"):
+                self.server.close()
             await asyncio.sleep(3600 if self.fault == "silent" else self.work)
         except asyncio.CancelledError:
             self.cancelled += 1
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -5,7 +5,7 @@
 import unittest
 
 from lentilrouter.moves import evidence, judging
-from lentilrouter.proxy import balancing, budget, directory, hops, moves
+from lentilrouter.proxy import balancing, budget, crashing, directory, hops, moves
 
 
 def target(host, domain="z1", **fields):
@@ -80,6 +80,33 @@
         self.assertGreater(spent, 0.1 * asked)
 
 
+class CrashesTests(unittest.TestCase):
+    """Remember calls that were in flight as targets died."""
+
+    def setUp(self):
+        self.crashes = crashing.Crashes()
+
+    def test_call_that_was_answered_since_is_no_cause(self):
+        for target_id in "ab":
+            self.crashes.note("f", target_id, 1.0)
+        self.crashes.cleared("f")
+        self.crashes.note("f", "c", 2.0)
+        self.assertFalse(self.crashes.convicted("f"))
+
+    def test_what_was_convicted_stays_so_until_it_is_old(self):
+        for target_id in "abc":
+            self.crashes.note("f", target_id, 1.0)
+        self.crashes.cleared("f")
+        self.assertTrue(self.crashes.convicted("f"))
+        self.crashes.expire(2.0 + crashing.REMEMBERED_SECONDS)
+        self.assertFalse(self.crashes.convicted("f"))
+
+    def test_entries_are_bounded(self):
+        for number in range(crashing.ENTRIES_MAX + 9):
+            self.crashes.note(f"f{number}", "a", 1.0)
+        self.assertEqual(len(self.crashes.records), crashing.ENTRIES_MAX)
+
+
 class VersionTests(unittest.TestCase):
     """Share calls between versions while a move runs."""
 
--- a/tests/proxy/test_path.py
+++ b/tests/proxy/test_path.py
@@ -49,7 +49,7 @@
         await asyncio.sleep(0.6)
         events = [json.loads(line)["event"] for line in self.first.lines()]
         self.assertEqual(events.count("move-halted"), 1)
-        self.assertEqual(events.count("halt-refused"), 2)
+        self.assertEqual(events.count("news-refused"), 2)
 
     async def test_unknown_route_is_answered_404(self):
         response = await self.mesh.call(self.first, "/nowhere/1")
@@ -235,3 +235,39 @@
         async with asyncio.timeout(20):
             while not any('"target-gone"' in line for line in first.lines()):
                 await asyncio.sleep(0.1)
+
+
+class CrashTests(unittest.IsolatedAsyncioTestCase):
+    """A call that takes down each target that runs it, and comes again."""
+
+    async def asyncSetUp(self):
+        self.mesh = doubles.Mesh()
+        self.addCleanup(self.mesh.close)
+        routes = [doubles.route(), doubles.route("/pay/", "unsafe")]
+        self.mesh.store.put("op/config", doubles.config(7, *routes))
+        await self.mesh.start(5)
+
+    def down(self):
+        return [m for m in self.mesh.machines if m.target.ran]
+
+    async def test_call_is_refused_by_all_once_it_took_down_three(self):
+        statuses = []
+        for machine in self.mesh.machines:
+            response = await self.mesh.call(machine, "/pay/crash", "POST", b"x")
+            statuses.append(response.status)
+            await asyncio.sleep(0.3)
+        self.assertEqual(len(self.down()), 3)
+        self.assertEqual(statuses.count(503), 2)
+        other = await self.mesh.call(self.mesh.machines[0], "/pay/1", "POST", b"x")
+        self.assertEqual(other.status, 200)
+
+    async def test_call_beside_a_crash_is_not_refused_later(self):
+        machine = self.mesh.machines[0]
+        for other in self.mesh.machines:
+            other.target.work = 0.2
+        beside = asyncio.create_task(self.mesh.call(machine, "/pay/5", "POST", b"y"))
+        await asyncio.sleep(0.05)
+        await self.mesh.call(machine, "/pay/crash", "POST", b"x")
+        await beside
+        again = await self.mesh.call(machine, "/pay/5", "POST", b"y")
+        self.assertEqual(again.status, 200)
