Wait at home in proportion to a call's goal before crossing domains

Calls crossed as soon as the home targets had 0.8 of their slots more in use than others, whatever a wait costs the call; an answer within its goal earns the same. Now the gap allowed is 0.35 of the goal, in the usual time of a call (0.8 stays until times are known), and a home target may make a call wait as long.

--- a/lentilrouter/proxy/balancing.py
+++ b/lentilrouter/proxy/balancing.py
@@ -7,7 +7,8 @@
 
 import dataclasses
 
-DOMAIN_PENALTY = 0.8  # of all slots in use; spill to another domain beyond this gap
+NEAR_WAIT = 0.35  # of a call's goal; wait that long at home rather than cross
+DOMAIN_PENALTY = 0.8  # of all slots in use, until it is known how long calls take
 KILOBYTE_PENALTY = 0.1  # more for each KB that would cross; what is cheap spills first
 STAY_BYTES = 16 * 1024  # calls this large leave the domain only if no target is there
 TIME_WEIGHT = 0.35  # what a target twice as slow as the others counts for
@@ -58,10 +59,11 @@
             view = self.views[host] = View()
         return view
 
-    def choose(self, targets, warm_at, tried, now, local_load, size=0.0):
+    def choose(self, targets, warm_at, tried, now, local_load, size=0.0, goal=0.0):
         """Return the best of ``targets`` that is not in ``tried``, or ``None``.
 
-        ``size`` is how many bytes the call and its answer have about.
+        ``size`` is how many bytes the call and its answer have about, ``goal`` the
+        seconds within which an answer is worth most.
 
         ``local_load`` is the share of slots in use at the target on the own host,
         ``None`` if it takes no calls; it is exact, so that target is taken as long as
@@ -83,7 +85,9 @@
         if len(candidates) > CANDIDATES_MAX:
             candidates = self._sample(candidates)
         usual = self._usual_seconds(candidates)
-        crossing = DOMAIN_PENALTY + KILOBYTE_PENALTY * size / 1000
+        # A target with twice as many calls as slots makes one wait as long as it runs.
+        crossing = NEAR_WAIT * goal / usual if usual else DOMAIN_PENALTY
+        crossing += KILOBYTE_PENALTY * size / 1000
         return min(
             candidates,
             key=lambda t: self._score(t, warm_at, now, usual, local_load, crossing),
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -16,7 +16,7 @@
 CONNECT_SECONDS = 0.25  # to another proxy; a cut-off host does not answer at all
 OFFERS_MAX = 4  # proxies asked for one call before it is refused
 FIRST_PATIENCE = 0.12  # of the goal: look elsewhere rather than wait longer
-NEAR_PATIENCE = 0.25  # of the goal: wait in the own domain rather than cross
+NEAR_PATIENCE = 0.35  # of the goal: wait in the own domain rather than cross
 LAST_PATIENCE = 0.6  # of the goal: wait at the last proxy asked
 LEAST_SECONDS = 0.01  # with less than this left a call is not sent any more
 RETRY_AFTER_SHARES = (0.1, 0.3)  # of the time left; callers wait up to a third of it
@@ -224,6 +224,7 @@
             now,
             services.hosting.local_load(),
             size,
+            call.route.goal,
         )
 
     def _others(self, call, target):
