Do not send calls across domains to targets that were just heard to be full

All domains were full: such a call is refused, or displaces one of that domain, and its bytes are paid either way. Now a target elsewhere whose proxy told of 1.3 calls a slot or more within 0.6 s is left out (2.0 for calls that are not of the last rank), unless the own domain has no target at all.

Tests: BalancerTests, four new; a call refused at home and a full far target was sent there before.

--- a/lentilrouter/proxy/balancing.py
+++ b/lentilrouter/proxy/balancing.py
@@ -10,6 +10,8 @@
 NEAR_WAIT = 0.35  # of a call's goal; wait that long at home rather than cross
 DOMAIN_PENALTY = 0.8  # of all slots in use, until it is known how long calls take
 KILOBYTE_PENALTY = 0.1  # more for each KB that would cross; what is cheap spills first
+FAR_FULL = 1.3  # calls there for each slot; what crosses to more only displaces others
+FAR_FULL_URGENT = 2.0  # for calls that go before others there
 STAY_BYTES = 16 * 1024  # calls this large leave the domain only if no target is there
 TIME_WEIGHT = 0.35  # what a target twice as slow as the others counts for
 FAIL_WEIGHT = 2.0  # what a target that fails every call counts for
@@ -59,8 +61,26 @@
             view = self.views[host] = View()
         return view
 
-    def choose(self, targets, warm_at, tried, now, local_load, size=0.0, goal=0.0):
-        """Return the best of ``targets`` that is not in ``tried``, or ``None``.
+    def open_to(self, targets, tried, now, urgent):
+        """Return those of ``targets`` that a call should be offered to.
+
+        A target in another domain that was just heard to be full is left out, as long
+        as any stands in the own domain.
+        """
+        left = [t for t in targets if t.host not in tried]
+        if all(t.domain != self.domain for t in targets):
+            return left
+        limit = FAR_FULL_URGENT if urgent else FAR_FULL
+        return [
+            t
+            for t in left
+            if t.domain == self.domain
+            or now - self.view(t.host).reported_at >= REPORT_SECONDS
+            or self.view(t.host).reported < limit
+        ]
+
+    def choose(self, targets, warm_at, now, local_load, size=0.0, goal=0.0):
+        """Return the best of ``targets``, ``None`` if there are none.
 
         ``size`` is how many bytes the call and its answer have about, ``goal`` the
         seconds within which an answer is worth most.
@@ -72,16 +92,15 @@
         if size >= STAY_BYTES:
             near = [t for t in targets if t.domain == self.domain]
             targets = [t for t in near if not self.view(t.host).down] or targets
-        left = [t for t in targets if t.host not in tried]
-        if not left:
+        if not targets:
             return None
         if local_load is not None and local_load < LOCAL_LOAD:
-            for target in left:
+            for target in targets:
                 if target.host == self.host and now >= warm_at.get(target.host, 0.0):
                     return target
-        up = [t for t in left if not self.view(t.host).down]
+        up = [t for t in targets if not self.view(t.host).down]
         fresh = [t for t in up if self.views[t.host].refused_until <= now]
-        candidates = fresh or up or left
+        candidates = fresh or up or targets
         if len(candidates) > CANDIDATES_MAX:
             candidates = self._sample(candidates)
         usual = self._usual_seconds(candidates)
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -138,10 +138,9 @@
                 if call.arrivals:
                     return outcome
                 return outcomes.NotRun(outcomes.Reason.DEADLINE, "no time is left")
-            target = self._choose(call, now)
+            target, last = self._choose(call, now)
             if target is None:
                 return outcome
-            last = call.offers + 1 >= OFFERS_MAX or not self._others(call, target)
             result = await self._offer(call, target, now, last)
             if isinstance(result, hops.Refused):
                 outcome = self._after_refusal(call, target, result, outcome)
@@ -215,24 +214,20 @@
         )
 
     def _choose(self, call, now):
-        services = self.services
-        size = len(call.request.body) + self.answer_bytes.get(call.route.name, 0.0)
-        return self.balancer.choose(
-            self._candidates(call),
+        """Return the target to offer a call to, and whether it is the last one."""
+        services, route = self.services, call.route
+        urgent = route.rank < services.holder.sheet.last_rank
+        left = self.balancer.open_to(self._candidates(call), call.tried, now, urgent)
+        size = len(call.request.body) + self.answer_bytes.get(route.name, 0.0)
+        target = self.balancer.choose(
+            left,
             services.directory.warm_at,
-            call.tried,
             now,
             services.hosting.local_load(),
             size,
-            call.route.goal,
-        )
-
-    def _others(self, call, target):
-        return any(
-            other.host != target.host and other.host not in call.tried
-            for other in self.services.directory.ready(call.service)
-            if other.version == target.version
+            route.goal,
         )
+        return target, call.offers + 1 >= OFFERS_MAX or len(left) < 2
 
     async def _offer(self, call, target, now, last):
         services = self.services
--- a/lentilrouter/proxy/sheets.py
+++ b/lentilrouter/proxy/sheets.py
@@ -56,13 +56,14 @@
 class Sheet:
     """Hold one version of routes, services and limits."""
 
-    __slots__ = ("version", "routes", "services", "limits", "hosts")
+    __slots__ = ("version", "routes", "services", "limits", "hosts", "last_rank")
 
     def __init__(self, version, routes, services, limits):
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
+        self.last_rank = max((route.rank for route in routes), default=0)
         self.hosts = {}
         for route in routes:
             self.hosts.setdefault(route.host, {})[route.prefix] = route
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -31,8 +31,9 @@
     def setUp(self):
         self.balancer = balancing.Balancer("z1", "h1", random.Random(4))
 
-    def choose(self, targets, tried=(), local=None, size=0.0):
-        chosen = self.balancer.choose(targets, {}, set(tried), 10.0, local, size)
+    def choose(self, targets, tried=(), local=None, size=0.0, goal=0.0, urgent=False):
+        left = self.balancer.open_to(targets, set(tried), 10.0, urgent)
+        chosen = self.balancer.choose(left, {}, 10.0, local, size, goal)
         return chosen and chosen.host
 
     def test_target_on_the_same_host_is_taken_while_it_has_room(self):
@@ -45,6 +46,31 @@
         self.balancer.loaded("h2", hops.Load(6, 8, 6), 10.0)
         self.assertEqual(self.choose(targets), "h9")
 
+    def test_calls_wait_at_home_for_a_part_of_their_goal(self):
+        targets = [target("h2"), target("h9", "z2")]
+        for host in ("h2", "h9"):
+            self.balancer.answered(host, 0.08, False, 10.0)
+        self.balancer.loaded("h2", hops.Load(6, 3, 6), 10.0)  # a wait of about 0.04 s
+        self.assertEqual(self.choose(targets, goal=0.4), "h2")
+        self.assertEqual(self.choose(targets, goal=0.1), "h9")
+
+    def test_calls_do_not_cross_to_a_full_target(self):
+        targets = [target("h2"), target("h9", "z2")]
+        self.balancer.loaded("h9", hops.Load(6, 4, 6), 10.0)
+        self.assertIsNone(self.choose(targets, tried={"h2"}))
+        self.assertEqual(self.choose(targets, tried={"h2"}, urgent=True), "h9")
+        self.balancer.loaded("h9", hops.Load(6, 30, 6), 10.0)
+        self.assertIsNone(self.choose(targets, tried={"h2"}, urgent=True))
+
+    def test_calls_without_a_target_at_home_cross_to_a_full_one(self):
+        self.balancer.loaded("h9", hops.Load(6, 30, 6), 10.0)
+        self.assertEqual(self.choose([target("h9", "z2")]), "h9")
+
+    def test_full_target_is_asked_again_once_the_word_is_old(self):
+        targets = [target("h2"), target("h9", "z2")]
+        self.balancer.loaded("h9", hops.Load(6, 30, 6), 9.0)
+        self.assertEqual(self.choose(targets, tried={"h2"}), "h9")
+
     def test_large_calls_leave_their_domain_only_if_it_has_no_target(self):
         targets = [target("h2"), target("h9", "z2")]
         self.balancer.loaded("h2", hops.Load(6, 60, 6), 10.0)
