Tell the other proxies of an own entry directly, and watch the store less often

Each proxy now sends its entry, with the store's revision, to those it knows; the watch on the proxies' own prefix rests 3 s, or 1 s within 6 s of a start and while a move runs, and an order ends the rest. A new steward is told too, so that the others do not try for its lease.

--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 
-from lentilrouter.proxy import directory, moves, vault
+from lentilrouter.proxy import directory, exchange, moves, vault
 
 OWN_PREFIX = "lentilrouter/"
 TARGETS_PREFIX = OWN_PREFIX + "targets/"
@@ -16,10 +17,13 @@
 BASES_PREFIX = OWN_PREFIX + "bases/"
 STEWARDS_PREFIX = OWN_PREFIX + "stewards/"
 # Between watches: changes in quick succession come in one answer, and each is a call to
-# the store. The operator's changes are due everywhere in 2 s, a slow store included; of
-# the proxies' own news, what is urgent is also refused by the target's proxy.
+# the store. The operator's changes are due everywhere in 2 s, a slow store included. Of
+# its own news each proxy tells the others; only a steward lost while a move runs,
+# and proxies that started at the same time, must be seen in the store soon.
 OPERATOR_PAUSE_SECONDS = 0.8
-PAUSE_SECONDS = 1.0
+PAUSE_SECONDS = 3.0
+URGENT_PAUSE_SECONDS = 1.0
+STARTING_SECONDS = 6.0  # the time of a lease: then all that lived before is settled
 RETRY_SECONDS = (0.3, 0.9)  # random, so that proxies don't return to the store at once
 RENEWALS = 3  # renewals in the time of one lease
 QUESTIONS = 2  # in a row without an answer; one may be lost on the way
@@ -57,6 +61,8 @@
         "scanned",
         "items",
         "reachable",
+        "started",
+        "ordered",
     )
 
     def __init__(self, services):
@@ -74,6 +80,8 @@
         self.items = {}
         self.reachable = asyncio.Event()
         self.reachable.set()
+        self.started = services.clock()
+        self.ordered = asyncio.Event()
 
     @property
     def own_key(self):
@@ -109,10 +117,23 @@
                     self._take(change, take)
                 at = max(at, result.at)
                 if result.changes:
-                    own = prefix == OWN_PREFIX
-                    await asyncio.sleep(
-                        PAUSE_SECONDS if own else OPERATOR_PAUSE_SECONDS
-                    )
+                    await self._rest(prefix)
+
+    async def _rest(self, prefix):
+        """Wait before the next watch of a prefix; an order ends a long wait."""
+        if prefix != OWN_PREFIX:
+            await asyncio.sleep(OPERATOR_PAUSE_SECONDS)
+            return
+        if self.services.clock() - self.started < STARTING_SECONDS or self._moving():
+            await asyncio.sleep(URGENT_PAUSE_SECONDS)
+            return
+        self.ordered.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PAUSE_SECONDS):
+                await self.ordered.wait()
+
+    def _moving(self):
+        return any(self.services.steward.concerns(order) for order in self.orders)
 
     def _take_all(self, prefix, scanned, take):
         present = {item.key for item in scanned.items}
@@ -179,6 +200,7 @@
                 services.log.event("order-refused", key=change.key, why=str(order))
                 return
             self.orders[service] = (order, change.revision, services.clock())
+            self.ordered.set()
             services.log.event(
                 "order",
                 service=service,
@@ -394,6 +416,8 @@
                 open=entry.open,
                 revision=result.revision,
             )
+            item = vault.Item(self.own_key, puts[0].value, result.revision, self.lease)
+            services.tell(exchange.CATCH_UP_PATH, exchange.encode([item]))
             return True
         services.log.event("entry-not-written", result=str(result))
         return False
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -123,12 +123,14 @@
         fingerprint = quarantine.fingerprint(request)
         incarnation = f"{target.id} {target.born}"
         if self.note_crash(fingerprint, incarnation):
-            body = orjson.dumps([fingerprint, incarnation])
-            loop = asyncio.get_running_loop()
-            telling = exchange.tell_all(self, exchange.CRASH_PATH, body)
-            task = loop.create_task(telling)
-            self.telling.add(task)
-            task.add_done_callback(self.telling.discard)
+            self.tell(exchange.CRASH_PATH, orjson.dumps([fingerprint, incarnation]))
+
+    def tell(self, path, body):
+        """Send news to all other proxies without waiting for it."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(exchange.tell_all(self, path, body))
+        self.telling.add(task)
+        task.add_done_callback(self.telling.discard)
 
     def note_crash(self, fingerprint, incarnation):
         """Note that a target died with a call in flight; return if that is news."""
--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -43,8 +43,12 @@
         if not self.services.registry.scanned.is_set():
             # An order without its move looks new, though it may have ended long ago.
             return False
+        return service not in self.services.registry.stewards and self.concerns(service)
+
+    def concerns(self, service):
+        """Tell whether an order for a service has not ended yet."""
         found = self.services.registry.orders.get(service)
-        if found is None or service in self.services.registry.stewards:
+        if found is None:
             return False
         move = self.services.bases.moves.get(service)
         return (
@@ -68,6 +72,8 @@
                 {key: 0}, [vault.Put(key, name, granted.lease)]
             )
             if isinstance(won, vault.Written):
+                item = vault.Item(key, name, won.revision, granted.lease)
+                services.tell(exchange.CATCH_UP_PATH, exchange.encode([item]))
                 lead = Lead(services, service, granted.lease, won.revision)
                 await lead.run()
                 await services.vault.end(granted.lease)
--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -163,7 +163,7 @@
         for machine in self.machines:
             await self.until_ready(machine)
         # Between two answers of a watch lies a pause; then all know one another.
-        await asyncio.sleep(registry.PAUSE_SECONDS + 0.2)
+        await asyncio.sleep(registry.URGENT_PAUSE_SECONDS + 0.2)
 
     async def add(self, **options):
         """Start one more machine."""
