Explain one call from the logs of all proxies with a command

Cause: docs/OPERATIONS.md led from an id to its cause by grep over each file; what a node believed then had to be looked up by hand.

--- a/lentilrouter/management/cli.py
+++ b/lentilrouter/management/cli.py
@@ -6,6 +6,7 @@
 
 import importlib
 import importlib.util
+import json
 import pathlib
 import sys
 import uuid
@@ -17,7 +18,7 @@
 
 import lentilrouter
 from lentilrouter.conf import checks, loader
-from lentilrouter.management import bench
+from lentilrouter.management import bench, explain
 from lentilrouter.node import runtime
 
 EXIT_REFUSED = 1
@@ -88,6 +89,34 @@
     typer.echo("no problems")
 
 
+@app.command("explain")
+def explain_call(
+    id: str = typer.Argument(..., help="Request id of the call."),
+    logs: list[str] = typer.Argument(None, help="Log files; standard input if none."),
+    as_json: bool = typer.Option(False, "--json", help="Print one JSON object."),
+):
+    """Join the log lines of all proxies into one account of one call.
+
+    Example: ``lentilrouter explain 9c41d07be2a35f68 kochi-*.log``; exits with 1 if no
+    line names the call.
+    """
+    rows = []
+    try:
+        for name in logs or ():
+            rows += pathlib.Path(name).read_bytes().splitlines()
+    except OSError as error:
+        _fail([error])
+    if not logs:
+        rows = sys.stdin.buffer.read().splitlines()
+    lines, unread = explain.read(rows)
+    found = explain.account(lines, id, unread)
+    if as_json:
+        typer.echo(json.dumps(explain.as_json(found), indent=1))
+    else:
+        typer.echo("\n".join(explain.render(found)))
+    raise typer.Exit(0 if found.steps else EXIT_REFUSED)
+
+
 @app.command()
 def apply(
     sheet: str = typer.Argument(..., help="Sheet (JSON) to put in force."),
