List idle connections of callers as red: they can use up a proxy's descriptors

Cause, by a trial copy that logged counts: 1,835 callers' connections open on one proxy with 15 calls at work; refused callers come back on a new connection and leave the old one open until idle_s (15 s). Ruled out: connections between proxies (64) and to targets (2).

--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -80,6 +80,34 @@
     return ports
 
 
+class Transport(asyncio.Transport):
+    """Collect what is written; nothing leaves the process."""
+
+    def __init__(self):
+        super().__init__()
+        self.data = b""
+        self.closed = False
+
+    def write(self, data):
+        self.data += data
+
+    def is_closing(self):
+        return self.closed
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+    def pause_reading(self):
+        """Do nothing: the test feeds bytes itself."""
+
+    resume_reading = pause_reading
+
+    def get_write_buffer_size(self):
+        return 0
+
+
 class Machine:
     """Run one proxy as a real process on a loopback address, with its target."""
 
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -24,6 +24,7 @@
     serving,
 )
 from lentilrouter.proxy import sheets as product_sheets
+from tests.proxy import doubles
 
 PROFILE = hypothesis.settings(
     max_examples=int(os.environ.get("FUZZ_EXAMPLES", "150")),
@@ -37,34 +38,6 @@
 INNER = b"GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-class Transport(asyncio.Transport):
-    """Collect what is written; nothing leaves the process."""
-
-    def __init__(self):
-        super().__init__()
-        self.data = b""
-        self.closed = False
-
-    def write(self, data):
-        self.data += data
-
-    def is_closing(self):
-        return self.closed
-
-    def close(self):
-        self.closed = True
-
-    abort = close
-
-    def pause_reading(self):
-        """Do nothing: the test feeds bytes itself."""
-
-    resume_reading = pause_reading
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 def serve(pieces):
     """Feed bytes to a connection of a server; return what it ran and answered."""
     seen = []
@@ -86,7 +59,7 @@
             lambda loop, context: failures.append(context)
         )
         connection = serving.ServerConnection(server)
-        transport = Transport()
+        transport = doubles.Transport()
         connection.connection_made(transport)
         for piece in pieces:
             connection.data_received(piece)
@@ -204,7 +177,7 @@
 
     async def run():
         connection = sending.Connection()
-        connection.connection_made(Transport())
+        connection.connection_made(doubles.Transport())
         exchange = asyncio.create_task(connection.exchange(b"", "GET", 0.01, id))
         await asyncio.sleep(0)
         for piece in pieces:
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -121,6 +121,29 @@
         self.assertEqual(self.server.active, 0)
 
 
+class CrowdTests(unittest.IsolatedAsyncioTestCase):
+    """Callers that come back on new connections and leave the old ones open."""
+
+    async def test_idle_callers_do_not_use_up_the_descriptors(self):
+        # Known red: 1,835 idle connections, 3,758 descriptors of 4,100 on
+        # feedlog-kochi trouble-1, while 15 calls were at work.
+        async def handle(request):
+            return messages.Response(503, [], b"")
+
+        server = serving.Server(handle, sheets.Limits, None, None)
+        server.loop = asyncio.get_running_loop()
+        for _ in range(1200):
+            connection = serving.ServerConnection(server)
+            transport = doubles.Transport()
+            connection.connection_made(transport)
+            connection.data_received(GET % 1)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            if transport.closed:
+                connection.connection_lost(None)
+        self.assertLessEqual(len(server.connections), 4100 // 4)
+
+
 class ClientTests(unittest.IsolatedAsyncioTestCase):
     """Answer a client with raw bytes."""
 
