Say why a proxy of a test ended at its start

Three runs of it alone passed. Not traced: the process's log was gone with its folder. A port taken by another process is possible and not shown; the next such failure prints the log's last lines.

--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -205,6 +205,9 @@
         """Wait until a proxy says it is ready and has heard its target."""
         async with asyncio.timeout(seconds):
             while await self.status(machine.ready, "/v1/readyz") != 200:
+                if machine.process.poll() is not None:
+                    last = "\n".join(machine.lines()[-20:])
+                    raise AssertionError(f"the proxy ended at its start:\n{last}")
                 await asyncio.sleep(0.05)
             while await machine.target.beat() != 200:
                 await asyncio.sleep(0.05)
