Say why a call without confirmation could not be sent again

Change: a line 'unconfirmed' with these figures, and the histogram lentilrouter_confirm_seconds. No decision changes. Test: tests/proxy/test_forwarding.py, which drives a forwarder against stand-ins of other proxies that confirm late, refuse or keep silent.

--- a/lentilrouter/proxy/counters.py
+++ b/lentilrouter/proxy/counters.py
@@ -27,6 +27,7 @@
         "version",
         "children",
         "crossed",
+        "confirmations",
     )
 
     def __init__(self):
@@ -57,6 +58,12 @@
             ["route", "ended"],
             **options,
         )
+        self.confirmations = prometheus_client.Histogram(
+            "lentilrouter_confirm_seconds",
+            "Time until another proxy confirmed that it has a call",
+            buckets=SECONDS_BUCKETS,
+            **options,
+        )
         self.children = {}
 
     def asked(self, route):
@@ -75,6 +82,10 @@
             child = self.children[key] = self.seconds.labels(route, name)
         child.observe(seconds)
 
+    def confirmed(self, seconds):
+        """Count how long a confirmation by another proxy took."""
+        self.confirmations.observe(seconds)
+
     def refused(self, cause):
         """Count a call that was refused."""
         self.refusals.labels(cause).inc()
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -313,6 +313,7 @@
             left,
             heard_seconds=HEARD_SECONDS,
             ask=None if replaceable else self._still_there(target),
+            on_confirmed=services.counters.confirmed,
             connect_seconds=CONNECT_SECONDS,
         )
         now = services.clock()
@@ -336,9 +337,29 @@
                 outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
             )
         if isinstance(result, sending.Unheard):
+            self._log_unconfirmed(call, target, result, replaceable)
             self._unreachable(target, result.detail)
         return outcomes.Unknown(f"{target.peer}: {result.detail}", host_silent=True)
 
+    def _log_unconfirmed(self, call, target, result, replaceable):
+        """Say what was known as a send was given up without a confirmation."""
+        services = self.services
+        others = self.balancer.open_to(
+            self._candidates(call), call.tried | {target.host}, services.clock(), False
+        )
+        services.log.request(
+            "unconfirmed",
+            call.id,
+            host=target.host,
+            waited=round(result.seconds, 4),
+            unsent=result.unsent,
+            replaceable=replaceable,
+            sends_left=call.route.attempts - call.arrivals - 1,
+            allowance=round(self.budget.tokens.get(call.service, -1.0), 2),
+            other_targets=len(others),
+            asked=not replaceable,
+        )
+
     def _has_other_way(self, call):
         """Tell whether a call may be sent again if this send is given up."""
         route, proxies = call.route, len(self.services.directory.by_host)
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -30,9 +30,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Unheard:
-    """Report that the other side did not confirm in time that it has the request."""
+    """Report that the other side did not confirm in time that it has the request.
+
+    ``seconds`` is how long it was waited for, ``unsent`` the bytes that had not left
+    this process by then.
+    """
 
     detail: str
+    seconds: float = 0.0
+    unsent: int = 0
 
 
 class Connection(asyncio.Protocol):
@@ -53,6 +59,8 @@
         "unframed",
         "ask",
         "asking",
+        "sent_at",
+        "on_confirmed",
     )
 
     def __init__(self, idle_limit=DEFAULT_IDLE_SECONDS):
@@ -69,6 +77,8 @@
         self.unframed = False
         self.ask = None
         self.asking = None
+        self.sent_at = 0.0
+        self.on_confirmed = None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -140,6 +150,8 @@
         if self.parser.get_status_code() < 200:
             if self.acknowledged is not None and not self.acknowledged.done():
                 self.acknowledged.set_result(None)
+                if self.on_confirmed is not None:
+                    self.on_confirmed(time.monotonic() - self.sent_at)
             self.message.reset()
             return
         if self.foreign:
@@ -171,14 +183,22 @@
         self.transport.abort()
 
     async def exchange(
-        self, data, method, seconds, id=None, heard_seconds=None, ask=None
+        self,
+        data,
+        method,
+        seconds,
+        id=None,
+        heard_seconds=None,
+        ask=None,
+        on_confirmed=None,
     ):
         """Send encoded request bytes and return an outcome within ``seconds``.
 
         ``id`` is what the answer's request id must be, if it has one. With
         ``heard_seconds`` the other side must confirm by an interim answer, or answer,
         within that time, or the outcome is ``Unheard``; with ``ask`` only if that, a
-        coroutine function, tells that the other side is not there.
+        coroutine function, tells that the other side is not there. ``on_confirmed``
+        gets the seconds until the interim answer.
         """
         loop = asyncio.get_running_loop()
         self.parser = httptools.HttpResponseParser(self)
@@ -194,6 +214,8 @@
             self.acknowledged = loop.create_future()
             timers.append(loop.call_later(heard_seconds, self._unheard))
             self.ask = ask
+        self.on_confirmed = on_confirmed
+        self.sent_at = time.monotonic()
         self.transport.write(data)
         try:
             return await future
@@ -213,13 +235,18 @@
         if self.acknowledged is None or self.acknowledged.done():
             return
         if self.ask is None:
-            self._finish(Unheard("the other proxy did not confirm the request"))
+            self._finish(self._unheard_because("did not confirm the request"))
         else:
             self.asking = asyncio.get_running_loop().create_task(self._ask_first())
 
     async def _ask_first(self):
         if not await self.ask():
-            self._finish(Unheard("the other proxy does not answer at all"))
+            self._finish(self._unheard_because("does not answer at all"))
+
+    def _unheard_because(self, detail):
+        seconds = time.monotonic() - self.sent_at
+        unsent = self.transport.get_write_buffer_size()
+        return Unheard(f"the other proxy {detail}", seconds, unsent)
 
 
 class Client:
@@ -249,6 +276,7 @@
         id=None,
         heard_seconds=None,
         ask=None,
+        on_confirmed=None,
         connect_seconds=None,
         reuse_seconds=None,
     ):
@@ -265,7 +293,13 @@
                 return connection
         data = framing.encode_request(request, address)
         outcome = await connection.exchange(
-            data, request.method, end - time.monotonic(), id, heard_seconds, ask
+            data,
+            request.method,
+            end - time.monotonic(),
+            id,
+            heard_seconds,
+            ask,
+            on_confirmed,
         )
         self._release(address, connection)
         return outcome
--- /dev/null
+++ b/tests/proxy/test_forwarding.py
@@ -0,0 +1,211 @@
+"""What becomes of a call whose confirmation by another proxy is late."""
+
+import asyncio
+import random
+import time
+import types
+import unittest
+
+import orjson
+
+from lentilrouter.core import logbook, outcomes
+from lentilrouter.datapath import framing, messages
+from lentilrouter.platform import names
+from lentilrouter.platform import sheets as platform_sheets
+from lentilrouter.proxy import (
+    balancing,
+    budget,
+    counters,
+    crashing,
+    directory,
+    forwarding,
+    hops,
+    moves,
+    registry,
+    sending,
+    serving,
+)
+from tests.proxy import doubles
+
+LATE_SECONDS = forwarding.HEARD_SECONDS + 0.1
+IDLE = hops.Load(0, 0, 6)
+
+
+class Peer:
+    """Stand in for a target's proxy that confirms and answers after some time.
+
+    ``refuses`` makes it refuse calls, ``mute`` keep silent for good. ``began`` counts
+    calls that reached its target, ``broken_off`` those whose sender left before the
+    answer.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.confirm_seconds = 0.0
+        self.work_seconds = 0.2
+        self.answer_seconds = 0.0
+        self.refuses = False
+        self.mute = False
+        self.began = 0
+        self.broken_off = 0
+        self.serving = set()
+
+    async def start(self, port):
+        """Start to listen."""
+        self.server = await asyncio.start_server(self.accept, self.address, port)
+
+    async def close(self):
+        """Stop to listen and end what is served."""
+        self.server.close()
+        for task in self.serving:
+            task.cancel()
+        await asyncio.gather(*self.serving, return_exceptions=True)
+
+    def accept(self, reader, writer):
+        self.serving.add(asyncio.ensure_future(self.serve(reader, writer)))
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if self.mute:
+                    await reader.read()
+                    return
+                await self.answer(head, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    async def answer(self, head, reader, writer):
+        if b"/ping" in head:
+            await asyncio.sleep(self.answer_seconds)
+            writer.write(framing.encode_response(messages.Response(200, [], b""), True))
+            return
+        if hops.PLACE_PATH.encode() in head:
+            writer.write(self.encode(hops.Placed("t")))
+            return
+        if self.refuses:
+            full = outcomes.NotRun(outcomes.Reason.OVERLOADED, "full")
+            writer.write(self.encode(hops.Refused(full)))
+            return
+        self.began += 1
+        await asyncio.sleep(self.confirm_seconds)
+        writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+        left = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([left], timeout=self.work_seconds)
+        if done:
+            self.broken_off += 1
+            return
+        left.cancel()
+        await asyncio.wait([left])
+        response = messages.Response(200, [], b"done")
+        writer.write(self.encode(outcomes.Answered(response, "i", 0.1)))
+
+    def encode(self, outcome):
+        return framing.encode_response(hops.encode_outcome(outcome, IDLE), True)
+
+
+class LateConfirmationTests(unittest.IsolatedAsyncioTestCase):
+    """Send calls from one proxy to others over links that hold packets for a while."""
+
+    async def asyncSetUp(self):
+        (self.port,) = doubles.free_ports(1)
+        self.peers = []
+        self.services = self.make_services()
+        self.addCleanup(self.services.peers.close)
+        self.forwarder = self.make_forwarder(retry_extra=0.0)
+
+    def make_services(self):
+        routes = [
+            doubles.route(timeout_s=2.0),
+            doubles.route("/pay/", "unsafe", timeout_s=2.0),
+        ]
+        holder = registry.Holder()
+        holder.sheet = platform_sheets.read_sheet(doubles.config(7, *routes))
+        return types.SimpleNamespace(
+            dialect=names,
+            holder=holder,
+            settings=doubles.settings(address="127.0.7.1"),
+            clock=time.monotonic,
+            random=random.Random(5),
+            log=logbook.Logbook(None, "n1", time.monotonic, time.time),
+            counters=counters.Counters(),
+            directory=directory.Directory(),
+            bases=moves.Bases(),
+            crashes=crashing.Crashes(),
+            hosting=types.SimpleNamespace(local_load=lambda: None),
+            peers=sending.Client(),
+            teach=self.teach,
+        )
+
+    async def teach(self, peer, answer):
+        """Take part in nothing here: every peer holds the sheet."""
+
+    def make_forwarder(self, retry_extra):
+        balancer = balancing.Balancer("z1", "127.0.7.1", random.Random(5))
+        allowance = budget.Budget(0.2, retry_extra)
+        return forwarding.Forwarder(self.services, balancer, allowance)
+
+    async def add_peer(self, **state):
+        host = f"127.0.7.{len(self.peers) + 2}"
+        peer = Peer(host)
+        for name, value in state.items():
+            setattr(peer, name, value)
+        await peer.start(self.port)
+        self.addAsyncCleanup(peer.close)
+        self.peers.append(peer)
+        target = directory.Target(
+            "i", "ledger", "v1", "z1", host, f"{host}:{self.port}", 6, True, 1
+        )
+        self.services.directory.put(target, 0.0)
+        return peer
+
+    async def call(self, path="/read/1", method="GET"):
+        headers = [(b"host", b"a.example"), (b"x-request-id", b"c")]
+        request = serving.Incoming(method, path, headers)
+        request.arrived = time.monotonic()
+        request.source = "127.0.0.1"
+        return await self.forwarder.handle(request)
+
+    def events(self, kind):
+        return [line for line in self.services.log.waiting if kind.encode() in line]
+
+    async def test_safe_call_to_a_silent_host_is_soon_answered_by_another(self):
+        # A host that is cut off must not hold a call that another target can run.
+        await self.add_peer(mute=True)
+        await self.add_peer(confirm_seconds=0.0, work_seconds=0.05)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        started = time.monotonic()
+        answer = await self.call()
+        self.assertEqual(answer.status, 200)
+        self.assertLess(time.monotonic() - started, 0.6)
+
+    async def test_payment_at_work_is_kept_while_its_host_answers(self):
+        # LOST: payments were given up where their confirmation came late.
+        peer = await self.add_peer(confirm_seconds=LATE_SECONDS, answer_seconds=0.2)
+        answer = await self.call("/pay/1", "POST")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off), (1, 0))
+
+    async def test_call_to_a_host_that_is_gone_gets_its_final_answer(self):
+        # A call that nobody works on any more must not be held until its deadline.
+        peer = await self.add_peer()
+        self.assertEqual((await self.call("/pay/1", "POST")).status, 200)
+        peer.mute = True
+        answer = await self.call("/pay/2", "POST")
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(len(self.events("peer-lost")), 1)
+
+    async def test_line_of_an_unconfirmed_call_says_why_it_can_not_be_sent_again(self):
+        # The allowance, the targets and the link could not be told apart as causes.
+        await self.add_peer(mute=True)
+        await self.call()
+        (line,) = self.events("unconfirmed")
+        fields = orjson.loads(line)
+        self.assertGreaterEqual(fields["waited"], forwarding.HEARD_SECONDS)
+        self.assertEqual(fields["other_targets"], 0)
+        self.assertEqual(fields["sends_left"], 1)
+        self.assertEqual(fields["allowance"], 1.0)
