--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -171,6 +171,31 @@
     def events(self, kind):
         return [line for line in self.services.log.waiting if kind.encode() in line]
 
+    async def test_safe_calls_at_work_are_kept_beyond_the_allowance_for_repeats(self):
+        # LOST: several calls to hosts on a slow link were given up after 0.3 s, each
+        # as if it could be sent again; the allowance was enough for one of them.
+        for _ in range(3):
+            await self.add_peer(confirm_seconds=LATE_SECONDS)
+        answers = await asyncio.gather(*(self.call() for _ in range(5)))
+        self.assertEqual([answer.status for answer in answers], [200] * 5)
+
+    async def test_safe_call_at_work_is_kept_where_no_other_target_is_known(self):
+        # LOST: the call was given up to be sent to another target, but none was left.
+        peer = await self.add_peer(confirm_seconds=LATE_SECONDS)
+        answer = await self.call()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off), (1, 0))
+
+    async def test_safe_call_at_work_is_kept_while_the_other_targets_refuse_it(self):
+        # LOST: the call was given up for targets that then had no room for it.
+        await self.add_peer(confirm_seconds=LATE_SECONDS)
+        await self.add_peer(refuses=True)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        answer = await self.call()
+        self.assertEqual(answer.status, 200)
+
     async def test_safe_call_to_a_silent_host_is_soon_answered_by_another(self):
         # A host that is cut off must not hold a call that another target can run.
         await self.add_peer(mute=True)
