Keep a call at work until its host is shown to be gone

Cause: a call whose confirmation was late by 0.3 s was given up, if it could have been sent again when it was first sent. By then the allowance for repeats was used up by other calls (about two repeats for each proxy of 85), no other target was known, or the others refused. The condition was checked long before it was used, and slowness was taken for silence. Each such proxy was also passed over as lost.

Change: a late confirmation ends nothing. Where the call may run twice, sends are left and the allowance holds at that moment, a second send goes out beside the first, and the first good answer counts. Beside it the host is asked, once for all calls; only a host that leaves two questions in a row unanswered is gone, and its calls are given up. A call that another target rejected is no longer called 'not run' if an earlier send may have run.

proxy/forwarding.py is split: carrying.py (sends of a call), offering.py (one send), reaching.py (which hosts are there). Two tests of test_wire.py that fixed the old rule are replaced: the wire now reports a late confirmation and is told whether to give up; that silent hosts are given up and answering ones kept is checked in test_forwarding.py.

--- a/lentilrouter/proxy/balancing.py
+++ b/lentilrouter/proxy/balancing.py
@@ -179,7 +179,9 @@
 
     def reachable(self, host):
         """Take a host into account again."""
-        self.view(host).down = False
+        view = self.view(host)
+        view.down = False
+        view.refused_until = 0.0
 
     def forget(self, known):
         """Drop views of hosts that are gone."""
--- a/lentilrouter/proxy/budget.py
+++ b/lentilrouter/proxy/budget.py
@@ -30,15 +30,12 @@
         tokens = self.tokens.get(service, limit) + self.share * self.safety
         self.tokens[service] = min(limit, tokens)
 
-    def allows(self, service, proxies):
-        """Return whether one more send is allowed."""
-        return self.tokens.get(service, self._limit(proxies)) >= 1
-
     def spend(self, service, proxies):
         """Return whether one more send is allowed, and count it."""
-        if not self.allows(service, proxies):
+        tokens = self.tokens.get(service, self._limit(proxies))
+        if tokens < 1:
             return False
-        self.tokens[service] = self.tokens.get(service, self._limit(proxies)) - 1
+        self.tokens[service] = tokens - 1
         return True
 
     def _limit(self, proxies):
--- /dev/null
+++ b/lentilrouter/proxy/carrying.py
@@ -0,0 +1,314 @@
+"""Carry a call to its answer: choose targets, send, send again, or find it refused.
+
+A call is sent to a second target only if it certainly has not run, or may run twice.
+What the target's own proxy refuses never reached a target, so trying the next one costs
+nothing of the allowance for repeated sends.
+
+A send whose confirmation is late is not ended for that. If the call may run twice, a
+second send goes out beside it and the first good answer counts; a send is ended early
+only if its host is gone.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+from lentilrouter.core import outcomes
+from lentilrouter.datapath import messages
+from lentilrouter.proxy import hops, offering, sheets
+
+OFFERS_MAX = 4  # proxies asked for one call before it is refused
+LEAST_SECONDS = 0.01  # with less than this left a call is not sent any more
+LEAVING_SECONDS = 1.0  # until the news of a leaving target is here
+DEADLINE_STATUS = 504
+
+
+class Step(enum.Enum):
+    """Say what a call needs after something happened to one of its sends."""
+
+    ANSWERED = enum.auto()
+    WAIT = enum.auto()
+    OFFER = enum.auto()  # to another target; the last one has not seen the call
+    OFFER_AGAIN = enum.auto()  # the last target has seen it, but not run it
+    REPEAT = enum.auto()  # it may have run, or be at work
+
+
+class Send:
+    """Hold one send of a call.
+
+    ``late`` tells that it was not confirmed in time, ``gone`` that its host is gone.
+    """
+
+    __slots__ = ("target", "task", "watch", "late", "gone")
+
+    def __init__(self, target):
+        self.target = target
+        self.task = None
+        self.watch = None
+        self.late = False
+        self.gone = False
+
+    def give_up(self):
+        """End the send because its host is gone."""
+        if not self.task.done():
+            self.gone = True
+            self.task.cancel()
+
+    def close(self):
+        """End what is still running for the send."""
+        self.task.cancel()
+        if self.watch is not None:
+            self.watch.cancel()
+
+    def result(self):
+        """Return the outcome of a send that has ended."""
+        if self.gone:
+            detail = f"{self.target.peer}: the host does not answer at all"
+            return outcomes.Unknown(detail, host_silent=True)
+        return self.task.result()
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """Hold a call and what became of it so far; times are monotonic seconds.
+
+    ``size`` is how many bytes it and its answer have about. ``arrivals`` counts ended
+    sends that reached a target, ``offers`` refusals. ``sends`` are at work, ``news``
+    holds those that ended or whose confirmation is late.
+    """
+
+    request: messages.Request
+    route: sheets.Route
+    id: str
+    started: float
+    deadline: float
+    size: float = 0.0
+    service: str = ""
+    tried: set = dataclasses.field(default_factory=set)
+    arrivals: int = 0
+    offers: int = 0
+    sends: set = dataclasses.field(default_factory=set)
+    news: collections.deque = dataclasses.field(default_factory=collections.deque)
+    waiting: object = None
+    outcome: object = outcomes.NotRun(outcomes.Reason.NO_TARGET, "no target is known")
+
+    def tell(self, send):
+        """Note that something happened to a send."""
+        self.news.append(send)
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(None)
+
+    async def next_news(self):
+        """Return the next send to which something happened."""
+        while not self.news:
+            self.waiting = asyncio.get_running_loop().create_future()
+            await self.waiting
+        return self.news.popleft()
+
+    def close(self):
+        """End every send that is still at work."""
+        for send in self.sends:
+            send.close()
+
+
+class Carrier:
+    """Carry calls.
+
+    ``services`` gives directory, bases, hosting, holder, crashes, log and clock.
+    """
+
+    __slots__ = ("services", "balancer", "budget", "reach", "offering")
+
+    def __init__(self, services, balancer, budget, reach):
+        self.services = services
+        self.balancer = balancer
+        self.budget = budget
+        self.reach = reach
+        self.offering = offering.Offering(services, balancer, reach)
+
+    async def carry(self, call):
+        """Return the outcome of a call."""
+        self.budget.earn(call.service, self._proxies())
+        try:
+            self._start(call)
+            while call.sends:
+                send = await call.next_news()
+                step = self._after(call, send)
+                if step is Step.ANSWERED:
+                    break
+                if step is not Step.WAIT:
+                    self._go_on(call, step)
+            return call.outcome
+        finally:
+            call.close()
+
+    def _proxies(self):
+        return len(self.services.directory.by_host)
+
+    def _after(self, call, send):
+        """Take in what happened to a send and return the next ``Step``."""
+        if send not in call.sends:
+            return Step.WAIT
+        if not send.task.done():
+            return self._unless_at_work(call, Step.REPEAT)
+        call.sends.discard(send)
+        if send.watch is not None:
+            send.watch.cancel()
+        result = send.result()
+        if isinstance(result, hops.Refused):
+            return self._after_refusal(call, send.target, result)
+        call.arrivals += 1
+        if isinstance(result, outcomes.Answered):
+            self.services.crashes.cleared_call(call.request)
+        if _is_final(result):
+            call.outcome = result
+            return Step.ANSWERED
+        if not isinstance(call.outcome, outcomes.Answered):
+            call.outcome = result
+        return self._unless_at_work(call, Step.REPEAT)
+
+    def _unless_at_work(self, call, step):
+        """Return ``step``, or ``WAIT`` while another send is well on its way."""
+        if all(send.late for send in call.sends):
+            return step
+        return Step.WAIT
+
+    def _after_refusal(self, call, target, result):
+        services = self.services
+        call.offers += 1
+        reason = result.outcome.reason
+        services.log.request(
+            "offer-refused",
+            call.id,
+            target=target.id,
+            host=target.host,
+            reason=reason,
+            detail=result.outcome.detail,
+            offers=call.offers,
+        )
+        if reason is outcomes.Reason.OVERLOADED:
+            self.balancer.refused(target.host, services.clock())
+        elif reason in (outcomes.Reason.DRAINING, outcomes.Reason.UNREACHABLE):
+            self.balancer.refused(target.host, services.clock(), LEAVING_SECONDS)
+        if isinstance(call.outcome, outcomes.NotRun):
+            call.outcome = result.outcome
+        call.arrivals += result.arrived
+        if call.offers >= OFFERS_MAX:
+            return Step.WAIT
+        step = Step.OFFER_AGAIN if result.arrived else Step.OFFER
+        return self._unless_at_work(call, step)
+
+    def _go_on(self, call, step):
+        """Send a call once more if it may be, and a target is left."""
+        if step is Step.OFFER:
+            self._start(call)
+            return
+        may_run = step is Step.OFFER_AGAIN or call.route.safe
+        sent = call.arrivals + len(call.sends)
+        if not may_run or sent >= call.route.attempts:
+            return
+        after = "no confirmation" if call.sends else _describe(call.outcome)
+        if self._start(call, paid=True) and step is Step.REPEAT:
+            self.services.log.request(
+                "sent-again",
+                call.id,
+                service=call.service,
+                after=after,
+                arrivals=call.arrivals,
+                at_work=len(call.sends) - 1,
+            )
+
+    def _start(self, call, paid=False):
+        """Send a call to the best target left; return whether it was sent.
+
+        ``paid`` takes the send from the allowance for repeats.
+        """
+        now = self.services.clock()
+        if call.deadline - now < LEAST_SECONDS:
+            if not call.arrivals and not call.sends:
+                reason = outcomes.Reason.DEADLINE
+                call.outcome = outcomes.NotRun(reason, "no time is left")
+            return False
+        target, last = self._choose(call, now)
+        if target is None:
+            return False
+        if paid and not self.budget.spend(call.service, self._proxies()):
+            return False
+        call.tried.add(target.host)
+        send = Send(target)
+
+        def on_late(waited, unsent):
+            self._late(call, send, waited, unsent)
+            return False
+
+        offer = offering.Offer(target, last, on_late)
+        loop = asyncio.get_running_loop()
+        send.task = loop.create_task(self.offering.offer(call, offer))
+        send.task.add_done_callback(lambda task: call.tell(send))
+        call.sends.add(send)
+        return True
+
+    def _choose(self, call, now):
+        """Return the target to offer a call to, and whether it is the last one."""
+        services, route = self.services, call.route
+        left = self._open_targets(call, now)
+        target = self.balancer.choose(
+            left,
+            services.directory.warm_at,
+            now,
+            services.hosting.local_load(),
+            call.size,
+            route.goal,
+        )
+        return target, call.offers + 1 >= OFFERS_MAX or len(left) < 2
+
+    def _open_targets(self, call, now):
+        services, route = self.services, call.route
+        ready = services.directory.ready(call.service)
+        up = [t for t in ready if not self.balancer.view(t.host).down]
+        candidates = services.bases.choose(
+            call.service, route.name, up or ready, again=bool(call.tried)
+        )
+        urgent = route.rank < services.holder.sheet.last_rank
+        return self.balancer.open_to(candidates, call.tried, now, urgent)
+
+    def _late(self, call, send, waited, unsent):
+        """Note that a confirmation is late, and find out whether the host is there."""
+        send.late = True
+        self._log_late(call, send, waited, unsent)
+        loop = asyncio.get_running_loop()
+        send.watch = loop.create_task(self._end_when_gone(send))
+        call.tell(send)
+
+    async def _end_when_gone(self, send):
+        await self.reach.until_gone(send.target)
+        send.give_up()
+
+    def _log_late(self, call, send, waited, unsent):
+        """Say what was known as the confirmation of a send was late."""
+        others = self._open_targets(call, self.services.clock())
+        self.services.log.request(
+            "unconfirmed",
+            call.id,
+            host=send.target.host,
+            waited=round(waited, 4),
+            unsent=unsent,
+            sends_left=call.route.attempts - call.arrivals - len(call.sends),
+            allowance=round(self.budget.tokens.get(call.service, -1.0), 2),
+            other_targets=len(others),
+        )
+
+
+def _is_final(result):
+    """Tell whether an outcome ends its call, however many sends are left."""
+    if not isinstance(result, outcomes.Answered):
+        return False
+    status = result.response.status
+    return status < offering.FIRST_ERROR_STATUS or status == DEADLINE_STATUS
+
+
+def _describe(outcome):
+    if isinstance(outcome, outcomes.Answered):
+        return f"status {outcome.response.status}"
+    return f"{type(outcome).__name__.lower()}: {outcome.detail}"
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -30,15 +30,23 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Unheard:
-    """Report that the other side did not confirm in time that it has the request.
+    """Report a request that was given up because its confirmation was late."""
 
-    ``seconds`` is how long it was waited for, ``unsent`` the bytes that had not left
-    this process by then.
+    detail: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Confirmation:
+    """Say when the other side's interim answer is due, and who is told of it.
+
+    ``came`` gets the seconds that it took. ``late`` is called once if there is neither
+    an interim answer nor an answer after ``seconds``; it gets the seconds waited and
+    the bytes not yet sent, and returns whether the request is to be given up.
     """
 
-    detail: str
-    seconds: float = 0.0
-    unsent: int = 0
+    seconds: float
+    came: object
+    late: object
 
 
 class Connection(asyncio.Protocol):
@@ -49,7 +57,7 @@
         "parser",
         "message",
         "future",
-        "acknowledged",
+        "confirmation",
         "clean",
         "idle_since",
         "idle_limit",
@@ -57,17 +65,14 @@
         "expected_id",
         "foreign",
         "unframed",
-        "ask",
-        "asking",
         "sent_at",
-        "on_confirmed",
     )
 
     def __init__(self, idle_limit=DEFAULT_IDLE_SECONDS):
         self.message = framing.Collector()
         self.parser = None
         self.future = None
-        self.acknowledged = None
+        self.confirmation = None
         self.clean = True
         self.idle_since = 0.0
         self.idle_limit = idle_limit
@@ -75,10 +80,7 @@
         self.expected_id = None
         self.foreign = False
         self.unframed = False
-        self.ask = None
-        self.asking = None
         self.sent_at = 0.0
-        self.on_confirmed = None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -148,10 +150,7 @@
             self.discard()
             return
         if self.parser.get_status_code() < 200:
-            if self.acknowledged is not None and not self.acknowledged.done():
-                self.acknowledged.set_result(None)
-                if self.on_confirmed is not None:
-                    self.on_confirmed(time.monotonic() - self.sent_at)
+            self._confirmed()
             self.message.reset()
             return
         if self.foreign:
@@ -182,23 +181,10 @@
         self.clean = False
         self.transport.abort()
 
-    async def exchange(
-        self,
-        data,
-        method,
-        seconds,
-        id=None,
-        heard_seconds=None,
-        ask=None,
-        on_confirmed=None,
-    ):
+    async def exchange(self, data, method, seconds, id=None, confirmation=None):
         """Send encoded request bytes and return an outcome within ``seconds``.
 
-        ``id`` is what the answer's request id must be, if it has one. With
-        ``heard_seconds`` the other side must confirm by an interim answer, or answer,
-        within that time, or the outcome is ``Unheard``; with ``ask`` only if that, a
-        coroutine function, tells that the other side is not there. ``on_confirmed``
-        gets the seconds until the interim answer.
+        ``id`` is what the answer's request id must be, if it has one.
         """
         loop = asyncio.get_running_loop()
         self.parser = httptools.HttpResponseParser(self)
@@ -210,11 +196,9 @@
         future = self.future = loop.create_future()
         late = messages.Late("no answer in time")
         timers = [loop.call_later(max(0.0, seconds), self._finish, late)]
-        if heard_seconds is not None:
-            self.acknowledged = loop.create_future()
-            timers.append(loop.call_later(heard_seconds, self._unheard))
-            self.ask = ask
-        self.on_confirmed = on_confirmed
+        self.confirmation = confirmation
+        if confirmation is not None:
+            timers.append(loop.call_later(confirmation.seconds, self._unconfirmed))
         self.sent_at = time.monotonic()
         self.transport.write(data)
         try:
@@ -222,31 +206,24 @@
         finally:
             for timer in timers:
                 timer.cancel()
-            if self.asking is not None:
-                self.asking.cancel()
-                self.asking = None
             unsent = self.transport.get_write_buffer_size() > 0
             if not self.message.complete or unsent:
                 self.discard()
             self.future = None
-            self.acknowledged = None
+            self.confirmation = None
 
-    def _unheard(self):
-        if self.acknowledged is None or self.acknowledged.done():
-            return
-        if self.ask is None:
-            self._finish(self._unheard_because("did not confirm the request"))
-        else:
-            self.asking = asyncio.get_running_loop().create_task(self._ask_first())
-
-    async def _ask_first(self):
-        if not await self.ask():
-            self._finish(self._unheard_because("does not answer at all"))
+    def _confirmed(self):
+        confirmation, self.confirmation = self.confirmation, None
+        if confirmation is not None:
+            confirmation.came(time.monotonic() - self.sent_at)
 
-    def _unheard_because(self, detail):
-        seconds = time.monotonic() - self.sent_at
-        unsent = self.transport.get_write_buffer_size()
-        return Unheard(f"the other proxy {detail}", seconds, unsent)
+    def _unconfirmed(self):
+        confirmation = self.confirmation
+        if confirmation is None or self.future is None or self.future.done():
+            return
+        waited = time.monotonic() - self.sent_at
+        if confirmation.late(waited, self.transport.get_write_buffer_size()):
+            self._finish(Unheard(f"not confirmed after {waited:.3f} s"))
 
 
 class Client:
@@ -274,9 +251,7 @@
         seconds,
         *,
         id=None,
-        heard_seconds=None,
-        ask=None,
-        on_confirmed=None,
+        confirmation=None,
         connect_seconds=None,
         reuse_seconds=None,
     ):
@@ -293,13 +268,7 @@
                 return connection
         data = framing.encode_request(request, address)
         outcome = await connection.exchange(
-            data,
-            request.method,
-            end - time.monotonic(),
-            id,
-            heard_seconds,
-            ask,
-            on_confirmed,
+            data, request.method, end - time.monotonic(), id, confirmation
         )
         self._release(address, connection)
         return outcome
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -21,20 +21,22 @@
     forwarding,
     hops,
     moves,
+    offering,
     registry,
     sending,
     serving,
 )
 from tests.proxy import doubles
 
-LATE_SECONDS = forwarding.HEARD_SECONDS + 0.1
+LATE_SECONDS = offering.HEARD_SECONDS + 0.1
 IDLE = hops.Load(0, 0, 6)
 
 
 class Peer:
     """Stand in for a target's proxy that confirms and answers after some time.
 
-    ``refuses`` makes it refuse calls, ``mute`` keep silent for good. ``began`` counts
+    ``refuses`` makes it refuse calls, ``shed`` makes its target reject them, ``mute``
+    keep silent for good. ``began`` counts
     calls that reached its target, ``broken_off`` those whose sender left before the
     answer.
     """
@@ -45,6 +47,7 @@
         self.work_seconds = 0.2
         self.answer_seconds = 0.0
         self.refuses = False
+        self.shed = False
         self.mute = False
         self.began = 0
         self.broken_off = 0
@@ -85,9 +88,9 @@
         if hops.PLACE_PATH.encode() in head:
             writer.write(self.encode(hops.Placed("t")))
             return
-        if self.refuses:
+        if self.refuses or self.shed:
             full = outcomes.NotRun(outcomes.Reason.OVERLOADED, "full")
-            writer.write(self.encode(hops.Refused(full)))
+            writer.write(self.encode(hops.Refused(full, arrived=self.shed)))
             return
         self.began += 1
         await asyncio.sleep(self.confirm_seconds)
@@ -208,6 +211,27 @@
         self.assertEqual(answer.status, 200)
         self.assertLess(time.monotonic() - started, 0.6)
 
+    async def test_slower_of_two_sends_is_ended_once_the_other_is_answered(self):
+        # What nobody waits for any more must not hold a slot.
+        slow = await self.add_peer(confirm_seconds=LATE_SECONDS, work_seconds=1.0)
+        fast = await self.add_peer(work_seconds=0.05)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        self.assertEqual((await self.call()).status, 200)
+        await asyncio.sleep(LATE_SECONDS)
+        self.assertEqual((slow.began, slow.broken_off), (1, 1))
+        self.assertEqual((fast.began, fast.broken_off), (1, 0))
+
+    async def test_call_that_may_have_run_is_never_refused_as_not_run(self):
+        # A second target's rejection says nothing of the first, which may have run it.
+        await self.add_peer(mute=True)
+        await self.add_peer(shed=True)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        self.assertEqual((await self.call()).status, 504)
+
     async def test_payment_at_work_is_kept_while_its_host_answers(self):
         # LOST: payments were given up where their confirmation came late.
         peer = await self.add_peer(confirm_seconds=LATE_SECONDS, answer_seconds=0.2)
@@ -230,7 +254,7 @@
         await self.call()
         (line,) = self.events("unconfirmed")
         fields = orjson.loads(line)
-        self.assertGreaterEqual(fields["waited"], forwarding.HEARD_SECONDS)
+        self.assertGreaterEqual(fields["waited"], offering.HEARD_SECONDS)
         self.assertEqual(fields["other_targets"], 0)
         self.assertEqual(fields["sends_left"], 1)
         self.assertEqual(fields["allowance"], 1.0)
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -232,25 +232,45 @@
         self.assertIsInstance(result, messages.Broken)
         self.assertFalse(result.started)
 
+    @staticmethod
+    def confirmation(came=None, late=None, give_up=False):
+        """Expect a confirmation within 50 ms; note in lists what was told of it."""
+        came = [] if came is None else came
+        late = [] if late is None else late
+
+        def on_late(waited, unsent):
+            late.append(waited)
+            return give_up
+
+        return sending.Confirmation(0.05, came.append, on_late)
+
     async def test_silence_is_late_and_lack_of_confirmation_is_told_apart(self):
         self.script = [(b"", False), (b"", False)]
         self.assertIsInstance(await self.send(), messages.Late)
-        result = await self.send(heard_seconds=0.05)
+        result = await self.send(confirmation=self.confirmation(give_up=True))
         self.assertIsInstance(result, sending.Unheard)
 
-    async def test_unconfirmed_request_is_kept_while_the_other_side_is_there(self):
+    async def test_unconfirmed_request_is_kept_unless_it_is_to_be_given_up(self):
         # On a slow link confirmations came late, and calls at work were given up.
-        for there in (True, False):
-
-            async def ask(there=there):
-                await asyncio.sleep(0.01)
-                return there
-
-            late = self.answer(b"a", b"1")
-            self.script = [(late, False, 0.15 if there else 9.0)]
-            result = await self.send(b"a", heard_seconds=0.05, ask=ask)
-            kind = messages.Replied if there else sending.Unheard
+        for give_up in (False, True):
+            late = []
+            self.script = [(self.answer(b"a", b"1"), False, 0.15)]
+            confirmation = self.confirmation(late=late, give_up=give_up)
+            result = await self.send(b"a", confirmation=confirmation)
+            kind = sending.Unheard if give_up else messages.Replied
             self.assertIsInstance(result, kind)
+            self.assertEqual(len(late), 1)
+            self.assertGreaterEqual(late[0], 0.05)
+
+    async def test_confirmation_is_told_once_and_never_late_then(self):
+        came, late = [], []
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        self.script = [(interim * 2, False), (self.answer(b"a", b"1"), False)]
+        confirmation = self.confirmation(came, late)
+        self.assertIsInstance(
+            await self.send(b"a", confirmation=confirmation), messages.Late
+        )
+        self.assertEqual((len(came), late), (1, []))
 
     async def test_refused_connection_sent_nothing(self):
         (port,) = doubles.free_ports(1)
