Explain late confirmations and second sends beside one at work

'lentilrouter explain' gave the new lines of a call ('unconfirmed', 'sent-again' beside a send at work, 'peer-gone') as bare fields, so an on-call engineer could not read from the account why a call was not sent again. Each gets its words; test_explain checks the first (it failed before: the line was printed as 'unconfirmed: host ..., waited ...').

--- a/lentilrouter/management/explain.py
+++ b/lentilrouter/management/explain.py
@@ -19,6 +19,7 @@
     "crash": "a target died with a call in flight",
     "move": "a move changed",
     "move-halted": "a bad version was halted",
+    "peer-gone": "another proxy left several questions unanswered",
     "peer-lost": "another proxy stopped to answer",
     "peer-regained": "another proxy answers again",
     "sheet": "a sheet came into force",
@@ -189,7 +190,20 @@
 
 @WORDS.register("sent-again")
 def _sent_again(fields):
-    return f"{fields.get('target')} failed ({fields.get('after')}); sent to another"
+    beside = fields.get("at_work")
+    there = f", beside {beside} at work" if beside else ""
+    return (
+        f"after {fields.get('after')} at {fields.get('target')}: sent to another{there}"
+    )
+
+
+@WORDS.register("unconfirmed")
+def _unconfirmed(fields):
+    return (
+        f"no confirmation by {fields.get('host')} after {fields.get('waited')} s; "
+        f"{fields.get('sends_left')} sends left, allowance {fields.get('allowance')}, "
+        f"{fields.get('other_targets')} other targets"
+    )
 
 
 @WORDS.register("refused")
--- a/lentilrouter/proxy/carrying.py
+++ b/lentilrouter/proxy/carrying.py
@@ -138,7 +138,7 @@
                 if step is Step.ANSWERED:
                     break
                 if step is not Step.WAIT:
-                    self._go_on(call, step)
+                    self._go_on(call, step, send.target)
             return call.outcome
         finally:
             call.close()
@@ -199,7 +199,7 @@
         step = Step.OFFER_AGAIN if result.arrived else Step.OFFER
         return self._unless_at_work(call, step)
 
-    def _go_on(self, call, step):
+    def _go_on(self, call, step, target):
         """Send a call once more if it may be, and a target is left."""
         if step is Step.OFFER:
             self._start(call)
@@ -214,6 +214,7 @@
                 "sent-again",
                 call.id,
                 service=call.service,
+                target=target.id,
                 after=after,
                 arrivals=call.arrivals,
                 at_work=len(call.sends) - 1,
--- a/tests/management/test_explain.py
+++ b/tests/management/test_explain.py
@@ -49,6 +49,17 @@
         "arrivals": 1,
         "seconds": 0.3,
     },
+    {
+        "at": 20.25,
+        "node": "n1",
+        "event": "unconfirmed",
+        "id": ID,
+        "host": "10.0.0.4",
+        "waited": 0.3004,
+        "sends_left": 1,
+        "allowance": 0.4,
+        "other_targets": 3,
+    },
     {"at": 20.4, "node": "n1", "event": "lines-left-out", "counts": {"refused": 4}},
     {"at": 20.5, "node": "n9", "event": "sheet", "version": 8, "revision": 9},
 ]
@@ -68,10 +79,20 @@
     def test_steps_of_a_call_and_of_calls_made_for_it_stand_in_order(self):
         found = self.account()
         self.assertEqual(
-            [line.event for line in found.steps], ["offer-refused", "refused", "failed"]
+            [line.event for line in found.steps],
+            ["offer-refused", "refused", "unconfirmed", "failed"],
         )
         self.assertEqual(found.end, "failed: it may have run")
 
+    def test_late_confirmation_is_said_with_what_another_send_would_have_needed(self):
+        # The causes of an early 504 could not be told apart from the account.
+        found = explain.account(explain.read(map(json.dumps, DAY))[0], ID)
+        self.assertIn(
+            "  20.250 n1 no confirmation by 10.0.0.4 after 0.3004 s; 1 sends left, "
+            "allowance 0.4, 3 other targets",
+            explain.render(found),
+        )
+
     def test_account_says_what_each_node_believed_then(self):
         found = self.account()
         self.assertEqual(set(found.beliefs), {"n1", "n2"})
