Move the belief about the local target into its own module

proxy/hosting.py did two jobs: believing heartbeats, and admitting and running calls. State, Beat, Leave, Accepted, Ignored, Belief and SILENT_BEATS now stand in proxy/belief.py, unchanged; hosting.py falls from 429 to 296 lines. The test class BeliefTests moves along as tests/proxy/test_belief.py, with the same nine checks.

--- a/lentilrouter/platform/beats.py
+++ b/lentilrouter/platform/beats.py
@@ -5,12 +5,12 @@
 
 import orjson
 
-from lentilrouter.proxy import hosting
+from lentilrouter.proxy import belief
 
 PATH = "/v1/rpc"
 BEAT = "instances.beat"
 LEAVE = "instances.leave"
-STATES = {"ready": hosting.State.READY, "draining": hosting.State.DRAINING}
+STATES = {"ready": belief.State.READY, "draining": belief.State.DRAINING}
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,9 +31,9 @@
         body = orjson.loads(request.body) if request.body else {}
         born = _whole(body.get("born", 0))
         if call == LEAVE:
-            return hosting.Leave(id, born)
+            return belief.Leave(id, born)
         info, status = body["info"], body["status"]
-        return hosting.Beat(
+        return belief.Beat(
             id=id,
             born=born,
             sequence=_whole(status["seq"]),
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import dataclasses
-import enum
 
 from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
 from lentilrouter.moves import evidence
-from lentilrouter.proxy import directory, gate, hops
+from lentilrouter.proxy import belief, gate, hops
 
 CONNECT_SECONDS = 0.3  # same host; the target's queue of connections may be full
-SILENT_BEATS = 4  # heartbeats may be seconds late, so several must be missing
 REUSE_UNSAFE_SECONDS = 1.0  # a target may forget idle connections sooner than it says
 ANSWER_MARGIN_SECONDS = 0.03  # a target answers at its deadline; allow for the way
 LEAST_SECONDS = 0.004  # with less than this left a call is not handed to a target
@@ -18,137 +16,6 @@
 FIRST_ERROR_STATUS = 500
 
 
-class State(enum.StrEnum):
-    """Say what the target last said, or that it is not heard any more."""
-
-    READY = "ready"
-    DRAINING = "draining"
-    GONE = "gone"
-    SILENT = "silent"
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Beat:
-    """Carry what a target says of itself; ``born`` is the millisecond it started."""
-
-    id: str
-    born: int
-    sequence: int
-    address: str
-    service: str
-    version: str
-    slots: int
-    state: State
-    cold_seconds: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Leave:
-    """Carry a target's word that it leaves for good."""
-
-    id: str
-    born: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Accepted:
-    """Report that a heartbeat counts; ``changed`` tells that others must know."""
-
-    changed: bool
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Ignored:
-    """Report a heartbeat that says nothing of the target that counts, and why."""
-
-    reason: str
-
-
-class Belief:
-    """Hold what is believed of the target. No input or output."""
-
-    __slots__ = ("settings", "target", "state", "heard", "warm_at")
-
-    def __init__(self, settings):
-        self.settings = settings
-        self.target = None
-        self.state = State.GONE
-        self.heard = 0.0
-        self.warm_at = 0.0
-
-    def hear(self, beat, now):
-        """Take in a ``Beat``; return ``Accepted`` or ``Ignored``."""
-        if beat.address != self.settings.target.address:
-            return Ignored(f"address {beat.address} is not the local target's")
-        if beat.service != self.settings.target.service:
-            return Ignored(f"service {beat.service} is not the local target's")
-        if beat.slots < 1:
-            return Ignored(f"{beat.slots} slots")
-        known = self.target
-        if known is not None and beat.born < known.born:
-            return Ignored(f"born {beat.born} is before {known.born}")
-        same = known is not None and (known.id, known.born) == (beat.id, beat.born)
-        if same and beat.sequence <= known.sequence:
-            return Ignored(f"sequence {beat.sequence} is not above {known.sequence}")
-        earlier = (self.state, known and dataclasses.replace(known, sequence=0))
-        self.heard = now
-        # A target that said it leaves is not taken back: its word binds the proxies.
-        if not (same and self.state in (State.DRAINING, State.GONE)):
-            self.state = beat.state
-        self.warm_at = now + beat.cold_seconds
-        proxy = self.settings.proxy
-        self.target = directory.Target(
-            id=beat.id,
-            service=beat.service,
-            version=beat.version,
-            domain=proxy.domain,
-            host=proxy.address,
-            peer=f"{proxy.address}:{proxy.peer_port}",
-            slots=beat.slots,
-            ready=self.state is State.READY,
-            born=beat.born,
-            sequence=beat.sequence,
-            cold_seconds=beat.cold_seconds if not same else known.cold_seconds,
-        )
-        later = (self.state, dataclasses.replace(self.target, sequence=0))
-        return Accepted(later != earlier)
-
-    def leave(self, leave, now):
-        """Take in a ``Leave``; return ``Accepted`` or ``Ignored``."""
-        known = self.target
-        if known is None or known.id != leave.id:
-            return Ignored(f"{leave.id} is not the local target")
-        if leave.born and leave.born < known.born:
-            return Ignored(f"born {leave.born} is before {known.born}")
-        changed = self.state is not State.GONE
-        self._set(State.GONE)
-        return Accepted(changed)
-
-    def restore(self, target, now):
-        """Believe an entry that this host's earlier process left in the store."""
-        if self.target is None:
-            self.target = target
-            self.state = State.READY if target.ready else State.DRAINING
-            self.heard = now
-            self.warm_at = now
-
-    def silent(self):
-        """Note that the target does not answer; return whether that is news."""
-        if self.state is not State.READY:
-            return False
-        self._set(State.SILENT)
-        return True
-
-    def check(self, now):
-        """Notice that heartbeats stopped; return whether that is news."""
-        limit = SILENT_BEATS * self.settings.target.beat_seconds
-        return now - self.heard > limit and self.silent()
-
-    def _set(self, state):
-        self.state = state
-        self.target = dataclasses.replace(self.target, ready=state is State.READY)
-
-
 class Hosting:
     """Admit calls to the local target and run them there.
 
@@ -167,7 +34,7 @@
 
     def __init__(self, services):
         self.services = services
-        self.belief = Belief(services.settings)
+        self.belief = belief.Belief(services.settings)
         self.gate = gate.Gate(1)
         self.evidence = evidence.Evidence()
         self.stopping = False
@@ -192,15 +59,15 @@
         """Believe an entry of this host's earlier process."""
         if self.belief.target is None:
             self.belief.restore(target, self.services.clock())
-            self._follow(None, Accepted(True), "entry in the store")
+            self._follow(None, belief.Accepted(True), "entry in the store")
 
     def check(self):
         """Notice a target that stopped to send heartbeats."""
         if self.belief.target is not None and self.belief.check(self.services.clock()):
-            self._follow(self.belief.target, Accepted(True), "no heartbeats")
+            self._follow(self.belief.target, belief.Accepted(True), "no heartbeats")
 
     def _follow(self, before, result, cause):
-        if isinstance(result, Ignored):
+        if isinstance(result, belief.Ignored):
             self.services.log.request("beat-ignored", "", reason=result.reason)
             return
         if not result.changed:
@@ -212,7 +79,7 @@
                 self.services.workers.drop(self.services.settings.target.address)
             self.gate = gate.Gate(target.slots)
         self.gate.slots = target.slots
-        if self.belief.state is not State.READY:
+        if self.belief.state is not belief.State.READY:
             self.gate.close(outcomes.Reason.DRAINING)
         elif self.gate.closed and not self.stopping:
             self.gate.closed = False
@@ -242,7 +109,7 @@
 
     def local_load(self):
         """Return the share of slots in use, or ``None`` if no call is taken."""
-        if self.gate.closed or self.belief.state is not State.READY:
+        if self.gate.closed or self.belief.state is not belief.State.READY:
             return None
         return (len(self.gate.running) + len(self.gate.queue)) / self.gate.slots
 
@@ -328,12 +195,12 @@
 
     def _refusal(self, hop):
         target = self.belief.target
-        reasons = outcomes.Reason
-        if target is None or self.belief.state in (State.GONE, State.SILENT):
+        reasons, states = outcomes.Reason, belief.State
+        if target is None or self.belief.state in (states.GONE, states.SILENT):
             return outcomes.NotRun(reasons.UNREACHABLE, "no target is here")
         if hop.target != target.id:
             return outcomes.NotRun(reasons.UNREACHABLE, "another target is here")
-        if self.stopping or self.belief.state is State.DRAINING:
+        if self.stopping or self.belief.state is states.DRAINING:
             return outcomes.NotRun(reasons.DRAINING, "target is leaving")
         if self.services.bases.left_behind(target.service, target.version):
             return outcomes.NotRun(reasons.DRAINING, "version gets no calls")
@@ -416,7 +283,7 @@
 
     def _lost(self, target, detail):
         if self.belief.silent():
-            self._follow(target, Accepted(True), detail)
+            self._follow(target, belief.Accepted(True), detail)
 
     def _note(self, hop, target, outcome, now):
         if isinstance(outcome, hops.Refused) or now < self.belief.warm_at:
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -15,6 +15,7 @@
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import (
     balancing,
+    belief,
     budget,
     counters,
     crashing,
@@ -285,9 +286,9 @@
     async def _answer_beat(self, request):
         services = self.services
         said = services.beats.read(request)
-        if isinstance(said, hosting.Beat):
+        if isinstance(said, belief.Beat):
             services.hosting.hear(said)
-        elif isinstance(said, hosting.Leave):
+        elif isinstance(said, belief.Leave):
             services.hosting.leave(said)
         else:
             services.log.request("beat-refused", "", reason=said.reason)
--- a/tests/platform/test_reading.py
+++ b/tests/platform/test_reading.py
@@ -5,7 +5,7 @@
 
 from lentilrouter.datapath import messages
 from lentilrouter.platform import beats, sheets
-from lentilrouter.proxy import hosting, moves
+from lentilrouter.proxy import belief, moves
 from tests.proxy import doubles
 
 
@@ -70,11 +70,11 @@
     def test_good_beat(self):
         said = self.read(json.dumps(self.GOOD).encode())
         self.assertEqual((said.id, said.born, said.sequence), ("i-1", 17, 4))
-        self.assertIs(said.state, hosting.State.READY)
+        self.assertIs(said.state, belief.State.READY)
 
     def test_leave(self):
         said = self.read(b'{"born":17}', "instances.leave")
-        self.assertEqual(said, hosting.Leave("i-1", 17))
+        self.assertEqual(said, belief.Leave("i-1", 17))
         self.assertEqual(self.read(b"", "instances.leave").born, 0)
 
     def test_bad_beats_name_no_target(self):
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_belief.py
@@ -3,7 +3,7 @@
 import dataclasses
 import unittest
 
-from lentilrouter.proxy import hosting
+from lentilrouter.proxy import belief
 from tests.proxy import doubles
 
 
@@ -17,25 +17,25 @@
         "service": "ledger",
         "version": "v1",
         "slots": 6,
-        "state": hosting.State.READY,
+        "state": belief.State.READY,
         "cold_seconds": 0.0,
         **fields,
     }
-    return hosting.Beat(**values)
+    return belief.Beat(**values)
 
 
 class BeliefTests(unittest.TestCase):
     """Feed heartbeats in every order."""
 
     def setUp(self):
-        self.belief = hosting.Belief(doubles.settings())
+        self.belief = belief.Belief(doubles.settings())
 
     def assert_ignored(self, result):
-        self.assertIsInstance(result, hosting.Ignored)
+        self.assertIsInstance(result, belief.Ignored)
 
     def test_first_beat_changes_later_ones_do_not(self):
-        self.assertEqual(self.belief.hear(beat(1), 0.0), hosting.Accepted(True))
-        self.assertEqual(self.belief.hear(beat(2), 1.5), hosting.Accepted(False))
+        self.assertEqual(self.belief.hear(beat(1), 0.0), belief.Accepted(True))
+        self.assertEqual(self.belief.hear(beat(2), 1.5), belief.Accepted(False))
 
     def test_late_beat_is_ignored(self):
         self.belief.hear(beat(5), 0.0)
@@ -49,23 +49,23 @@
 
     def test_same_id_started_again_counts_anew(self):
         self.belief.hear(beat(50), 0.0)
-        draining = beat(51, state=hosting.State.DRAINING)
+        draining = beat(51, state=belief.State.DRAINING)
         self.belief.hear(draining, 1.0)
         again = beat(1, born=300)
-        self.assertEqual(self.belief.hear(again, 2.0), hosting.Accepted(True))
+        self.assertEqual(self.belief.hear(again, 2.0), belief.Accepted(True))
         self.assertTrue(self.belief.target.ready)
 
     def test_draining_binds_whatever_comes_later(self):
         self.belief.hear(beat(1), 0.0)
-        self.belief.hear(beat(2, state=hosting.State.DRAINING), 1.0)
+        self.belief.hear(beat(2, state=belief.State.DRAINING), 1.0)
         self.belief.hear(beat(3), 2.0)
         self.assertFalse(self.belief.target.ready)
 
     def test_leave_binds_and_a_strangers_leave_does_not(self):
         self.belief.hear(beat(1), 0.0)
-        self.assert_ignored(self.belief.leave(hosting.Leave("i-9", 0), 1.0))
+        self.assert_ignored(self.belief.leave(belief.Leave("i-9", 0), 1.0))
         self.assertTrue(self.belief.target.ready)
-        self.belief.leave(hosting.Leave("i-1", 100), 1.0)
+        self.belief.leave(belief.Leave("i-1", 100), 1.0)
         self.belief.hear(beat(2), 2.0)
         self.assertFalse(self.belief.target.ready)
 
@@ -84,6 +84,6 @@
     def test_entry_of_a_closed_proxy_does_not_speak_of_its_target(self):
         self.belief.hear(beat(1), 0.0)
         entry = dataclasses.replace(self.belief.target, open=False)
-        fresh = hosting.Belief(doubles.settings())
+        fresh = belief.Belief(doubles.settings())
         fresh.restore(entry, 0.0)
-        self.assertIs(fresh.state, hosting.State.READY)
+        self.assertIs(fresh.state, belief.State.READY)
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -15,10 +15,10 @@
 from lentilrouter.datapath import messages
 from lentilrouter.platform import beats, sheets
 from lentilrouter.proxy import (
+    belief,
     directory,
     exchange,
     hops,
-    hosting,
     moves,
     sending,
     serving,
@@ -244,7 +244,7 @@
     def test_heartbeat_is_read_or_refused(self, body, call):
         target = f"/v1/rpc?call=instances.{call}&of=i-1"
         said = beats.read(messages.Request("POST", target, [], body))
-        kinds = hosting.Beat | hosting.Leave | beats.Unreadable
+        kinds = belief.Beat | belief.Leave | beats.Unreadable
         self.assertIsInstance(said, kinds)
 
     @PROFILE
