Move the parts of a proxy into their own module

proxy/runtime.py built a proxy's parts, let them speak to other proxies, and ran listeners and shutdown. The class Services, with the five constants only it uses, now stands in proxy/services.py, unchanged; runtime.py falls from 373 to 250 lines. TARGET_PATH, which both need, stands beside PLACE_PATH in hops.py with the same value. Proxy.run, _drain and _tick are untouched. tests.proxy.test_path (whole proxies as processes): 22 run, 22 pass.

--- a/lentilrouter/proxy/hops.py
+++ b/lentilrouter/proxy/hops.py
@@ -14,6 +14,7 @@
 HEADER = b"lentilrouter-hop"
 PATH_PREFIX = "/lentilrouter/"
 PLACE_PATH = PATH_PREFIX + "place"
+TARGET_PATH = PATH_PREFIX + "target"
 
 
 @dataclasses.dataclass(slots=True)
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -1,153 +1,31 @@
 """Run the proxy beside one target: listeners, views of the store, duties, shutdown."""
 
 import asyncio
-import dataclasses
-import random
 import signal
-import time
 import traceback
 
 import anyio
 import orjson
 
 from lentilrouter.conf import defaults, loader
-from lentilrouter.core import logbook
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import (
-    balancing,
     belief,
-    budget,
-    counters,
-    crashing,
-    directory,
     exchange,
-    forwarding,
     hops,
-    hosting,
-    moves,
     registry,
-    sending,
+    services,
     serving,
     sheets,
     stewarding,
 )
-from lentilrouter.routing import quarantine
 
 TICK_SECONDS = 0.25
-TARGET_UNHEARD_MS = 400  # the target is on the same host; finds silent connections
-TARGET_PATH = f"{hops.PATH_PREFIX}target"
-ASK_SECONDS = 0.4  # for one question to another proxy, a lost packet included
-TEACH_SECONDS = 1.0  # for one message of some 100 KB
 READY_OUT_SECONDS = 2.3  # two questions a second apart without a 200, and the way
 HAND_OVER_SECONDS = 0.8  # before that, other proxies hear that calls go elsewhere
 EXIT_MARGIN_SECONDS = 0.5  # of the grace, for closing connections
 JSON_TYPE = [(b"content-type", b"application/json")]
 PEER_LIMITS = sheets.Limits(header_bytes=1024 * 1024, idle_seconds=60.0)
-PEER_IDLE_SECONDS = 30.0  # below the other side's limit, so that it never closes first
-STORE_RETRY_IDLE_SECONDS = 20.0
-
-
-class Services:
-    """Hold the parts of a proxy that others reach by name."""
-
-    def __init__(self, settings, platform, clock=time.monotonic, wall=time.time):
-        self.settings = settings
-        self.dialect = platform.dialect
-        self.adapter = platform.adapter
-        self.beats = platform.beats
-        self.clock = clock
-        self.random = random.Random(f"{settings.proxy.id} {wall()}")
-        self.log = logbook.Logbook(1, settings.proxy.id, clock, wall)
-        self.counters = counters.Counters()
-        self.holder = registry.Holder()
-        self.directory = directory.Directory()
-        self.bases = moves.Bases()
-        self.workers = sending.Client(unheard_ms=TARGET_UNHEARD_MS)
-        self.peers = sending.Client(idle_limit=PEER_IDLE_SECONDS)
-        store_client = sending.Client(
-            silent_checks=True, idle_limit=STORE_RETRY_IDLE_SECONDS
-        )
-        self.vault = platform.open_vault(
-            store_client, settings.store.address, settings.store.timeout_seconds
-        )
-        self.crashes = crashing.Crashes()
-        self.telling = set()
-        self.hosting = hosting.Hosting(self)
-        self.registry = registry.Registry(self)
-        self.steward = stewarding.Steward(self)
-        promises = settings.promises
-        self.forwarder = forwarding.Forwarder(
-            self,
-            balancing.Balancer(
-                settings.proxy.domain, settings.proxy.address, self.random
-            ),
-            budget.Budget(promises.retry_share, promises.retry_extra),
-        )
-
-    def target_changed(self):
-        """Make news of the local target known here and to the other proxies."""
-        target = self.hosting.belief.target
-        entry = dataclasses.replace(target, open=not self.hosting.stopping)
-        self.directory.put(entry, self.clock())
-        self.registry.dirty.set()
-
-    async def ask_target(self, known, host):
-        """Return the target that a host's proxy says it has, ``None`` for none."""
-        request = messages.Request("GET", TARGET_PATH, [(b"host", b"peer")])
-        peer = known.by_host[host].peer
-        result = await self.peers.send(peer, request, ASK_SECONDS)
-        if not isinstance(result, messages.Replied):
-            return None
-        try:
-            target = directory.decode(result.response.body)
-        except ValueError:
-            # The proxy has no target, or is something else by now: no target there.
-            return None
-        return target if target.host == host else None
-
-    async def teach(self, peer, answer):
-        """Tell a proxy that lacks a sheet, and cannot read the store, what is known."""
-        held = self.holder.sheet
-        if held is None or answer.body != exchange.NO_SHEET:
-            return
-        request = messages.Request(
-            "POST",
-            exchange.CATCH_UP_PATH,
-            [(b"host", b"peer")],
-            exchange.encode(self.registry.snapshot()),
-        )
-        result = await self.peers.send(peer, request, TEACH_SECONDS)
-        self.log.event("taught", peer=peer, result=type(result).__name__)
-
-    def crashed(self, request, target):
-        """Note a call in flight as its target died, and tell the other proxies."""
-        fingerprint = quarantine.fingerprint(request)
-        incarnation = f"{target.id} {target.born}"
-        if self.note_crash(fingerprint, incarnation):
-            self.tell(exchange.CRASH_PATH, orjson.dumps([fingerprint, incarnation]))
-
-    def tell(self, path, body):
-        """Send news to all other proxies without waiting for it."""
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(exchange.tell_all(self, path, body))
-        self.telling.add(task)
-        task.add_done_callback(self.telling.discard)
-
-    def note_crash(self, fingerprint, incarnation):
-        """Note that a target died with a call in flight; return if that is news."""
-        news = self.crashes.note(fingerprint, incarnation, self.clock())
-        if news:
-            self.log.event(
-                "crash",
-                fingerprint=fingerprint,
-                target=incarnation,
-                refused_now=self.crashes.convicted(fingerprint),
-            )
-        return news
-
-    def on_order(self, service):
-        """Let the steward look at a move."""
-        self.steward.notice(service)
 
 
 class Proxy:
@@ -156,20 +34,19 @@
     def __init__(self, settings, platform, settings_path=""):
         self.settings = settings
         self.settings_path = settings_path
-        self.services = Services(settings, platform)
-        services = self.services
+        self.services = services.Services(settings, platform)
         self.stopping = anyio.Event()
 
         def limits():
-            sheet = services.holder.sheet
+            sheet = self.services.holder.sheet
             return sheet.limits if sheet is not None else sheets.Limits()
 
         def server(handler, limits=lambda: PEER_LIMITS, confirm=False):
             return serving.Server(
-                handler, limits, _unread, services.counters.not_read, confirm
+                handler, limits, _unread, self.services.counters.not_read, confirm
             )
 
-        self.callers = server(services.forwarder.handle, limits)
+        self.callers = server(self.services.forwarder.handle, limits)
         self.peers = server(self._answer_peer, confirm=True)
         self.readiness = server(self._answer_ready)
         self.heartbeats = server(self._answer_beat)
@@ -328,7 +205,7 @@
             known = self.services.holder.sheet is not None
             body = b"" if known else exchange.NO_SHEET
             return messages.Response(200, [], body)
-        if request.path == TARGET_PATH:
+        if request.path == hops.TARGET_PATH:
             entry = self.services.registry.entry()
             return messages.Response(200, JSON_TYPE, entry.encode() if entry else b"")
         return self._answer_news(request)
