Keep records of crashed calls with one copy of the code

proxy/crashing.Crashes and routing/quarantine.Quarantine kept bounded records by fingerprint with the same steps: entering, clearing by an answer, expiry, and the same two limits. These stand once now, in quarantine.Records, on which both build. What convicts a call stays apart: three deaths in the proxy, one death alone in the node. The limits have the values they had in both; the proxy's tests name them where they stand now, with the same checks. No change of behaviour.

--- a/lentilrouter/proxy/crashing.py
+++ b/lentilrouter/proxy/crashing.py
@@ -10,8 +10,6 @@
 from lentilrouter.routing import quarantine
 
 CRASHES_MAX = 3  # targets that a call may take down before it is refused
-REMEMBERED_SECONDS = 600.0  # callers come back with the same call for minutes
-ENTRIES_MAX = 4096  # about 1 MB
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,9 +19,14 @@
     targets: set
     seen: float
 
+    @property
+    def convicted(self):
+        """Tell whether the call is to be refused."""
+        return len(self.targets) >= CRASHES_MAX
 
-class Crashes:
-    """Remember calls by their fingerprints.
+
+class Crashes(quarantine.Records):
+    """Remember calls by the targets that died with them in flight.
 
     >>> crashes = Crashes()
     >>> [crashes.note("f", target, now=1.0) for target in ("a", "b", "b", "c")]
@@ -32,29 +35,20 @@
     True
     """
 
-    __slots__ = ("records",)
-
-    def __init__(self):
-        self.records = {}
+    __slots__ = ()
 
     def note(self, fingerprint, target, now):
         """Note that a target died with a call in flight; return if that is news."""
         record = self.records.get(fingerprint)
         if record is None:
-            if len(self.records) >= ENTRIES_MAX:
-                del self.records[next(iter(self.records))]
-            record = self.records[fingerprint] = Record(set(), now)
+            record = Record(set(), now)
+            self._enter(fingerprint, record)
         if target in record.targets:
             return False
         record.targets.add(target)
         record.seen = now
         return True
 
-    def convicted(self, fingerprint):
-        """Tell whether a call is to be refused."""
-        record = self.records.get(fingerprint)
-        return record is not None and len(record.targets) >= CRASHES_MAX
-
     def convicted_call(self, request):
         """Tell whether a request is to be refused."""
         return bool(self.records) and self.convicted(quarantine.fingerprint(request))
@@ -63,14 +57,3 @@
         """Note that a request was answered."""
         if self.records:
             self.cleared(quarantine.fingerprint(request))
-
-    def cleared(self, fingerprint):
-        """Note that a call was answered; what was convicted stays so."""
-        if fingerprint in self.records and not self.convicted(fingerprint):
-            del self.records[fingerprint]
-
-    def expire(self, now):
-        """Forget old records."""
-        limit = now - REMEMBERED_SECONDS
-        for item in [key for key, rec in self.records.items() if rec.seen < limit]:
-            del self.records[item]
--- a/lentilrouter/routing/quarantine.py
+++ b/lentilrouter/routing/quarantine.py
@@ -9,8 +9,8 @@
 
 import xxhash
 
-REMEMBERED_SECONDS = 600.0
-ENTRIES_MAX = 4096
+REMEMBERED_SECONDS = 600.0  # callers come back with the same call for minutes
+ENTRIES_MAX = 4096  # about 1 MB
 
 
 def fingerprint(request):
@@ -22,6 +22,44 @@
     return digest.hexdigest()
 
 
+class Records:
+    """Remember calls that were in flight as targets died, by their fingerprints.
+
+    A record tells whether the call is ``convicted`` and when it was ``seen`` last. The
+    oldest makes room for a new one. What convicts a call is up to those who build on
+    this: ``Quarantine`` below and the proxy's ``crashing.Crashes``.
+    """
+
+    __slots__ = ("records",)
+
+    def __init__(self):
+        self.records = {}
+
+    def convicted(self, fingerprint):
+        """Tell whether a call is to be refused."""
+        record = self.records.get(fingerprint)
+        return record is not None and record.convicted
+
+    def cleared(self, fingerprint):
+        """Note that a call was answered; what was convicted stays so."""
+        if fingerprint in self.records and not self.convicted(fingerprint):
+            self._drop(fingerprint)
+
+    def expire(self, now):
+        """Forget old records."""
+        limit = now - REMEMBERED_SECONDS
+        for item in [k for k, record in self.records.items() if record.seen < limit]:
+            self._drop(item)
+
+    def _enter(self, fingerprint, record):
+        if fingerprint not in self.records and len(self.records) >= ENTRIES_MAX:
+            self._drop(next(iter(self.records)))
+        self.records[fingerprint] = record
+
+    def _drop(self, fingerprint):
+        del self.records[fingerprint]
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """Hold whether a fingerprint is convicted, and when it was noted last."""
@@ -30,43 +68,31 @@
     seen: float
 
 
-class Quarantine:
+class Quarantine(Records):
     """Remember suspects and convicted fingerprints for a while.
 
     ``news`` counts for each record how often it was sent to other nodes.
     """
 
-    __slots__ = ("records", "news")
+    __slots__ = ("news",)
 
     def __init__(self):
-        self.records = {}
+        super().__init__()
         self.news = {}
 
     def suspected(self, fingerprint):
         """Tell whether the call must run alone."""
         return fingerprint in self.records
 
-    def convicted(self, fingerprint):
-        """Tell whether the call is to be refused."""
-        record = self.records.get(fingerprint)
-        return record is not None and record.convicted
-
     def note(self, fingerprint, convicted, now):
         """Note a suspect or a conviction; return whether it was news."""
         record = self.records.get(fingerprint)
         if record is not None and record.convicted >= convicted:
             return False
-        if record is None and len(self.records) >= ENTRIES_MAX:
-            self._drop(next(iter(self.records)))
-        self.records[fingerprint] = Record(convicted, now)
+        self._enter(fingerprint, Record(convicted, now))
         self.news[fingerprint] = 0
         return True
 
-    def cleared(self, fingerprint):
-        """Note that a suspect was answered."""
-        if fingerprint in self.records and not self.convicted(fingerprint):
-            self._drop(fingerprint)
-
     def take_news(self, limit, sends):
         """Return up to ``limit`` records that other nodes may not know yet.
 
@@ -79,12 +105,6 @@
                 del self.news[item]
         return [(item, self.records[item].convicted) for item in chosen]
 
-    def expire(self, now):
-        """Forget old records."""
-        limit = now - REMEMBERED_SECONDS
-        for item in [k for k, record in self.records.items() if record.seen < limit]:
-            self._drop(item)
-
     def _drop(self, fingerprint):
-        del self.records[fingerprint]
+        super()._drop(fingerprint)
         self.news.pop(fingerprint, None)
--- a/tests/proxy/test_decisions.py
+++ b/tests/proxy/test_decisions.py
@@ -6,6 +6,7 @@
 
 from lentilrouter.moves import evidence, judging
 from lentilrouter.proxy import balancing, budget, crashing, directory, hops, moves
+from lentilrouter.routing import quarantine
 
 
 def target(host, domain="z1", **fields):
@@ -124,13 +125,13 @@
             self.crashes.note("f", target_id, 1.0)
         self.crashes.cleared("f")
         self.assertTrue(self.crashes.convicted("f"))
-        self.crashes.expire(2.0 + crashing.REMEMBERED_SECONDS)
+        self.crashes.expire(2.0 + quarantine.REMEMBERED_SECONDS)
         self.assertFalse(self.crashes.convicted("f"))
 
     def test_entries_are_bounded(self):
-        for number in range(crashing.ENTRIES_MAX + 9):
+        for number in range(quarantine.ENTRIES_MAX + 9):
             self.crashes.note(f"f{number}", "a", 1.0)
-        self.assertEqual(len(self.crashes.records), crashing.ENTRIES_MAX)
+        self.assertEqual(len(self.crashes.records), quarantine.ENTRIES_MAX)
 
 
 class VersionTests(unittest.TestCase):
