Refuse an answer whose announced size is beyond the bound at its head

Cause: the announced size was never looked at.

Change: a size beyond MAX_RESPONSE_BYTES ends the exchange as broken at the head. Answers to HEAD and those of 204 and 304 have no body and are not judged. The parser already refuses sizes that are no number.

Tests: test_announced_size_beyond_the_bound_ends_at_the_head failed before: "AssertionError: False is not true" (the connection was still open). The test for HEAD and 304 passed before and after.

--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -127,8 +127,12 @@
             return
         self.tally.in_head = False
         framed = False
+        size = 0
         for name, value in self.message.headers:
-            if name == b"content-length" or name == b"transfer-encoding":
+            if name == b"content-length":
+                framed = True
+                size = int(value)
+            elif name == b"transfer-encoding":
                 framed = True
             elif name == b"keep-alive":
                 self._read_keep_alive(value)
@@ -137,7 +141,10 @@
         if self.method == "HEAD":
             self.clean = False
             self._complete()
-        self.unframed = not framed and status not in framing.NO_BODY_STATUS
+        elif status not in framing.NO_BODY_STATUS:
+            self.unframed = not framed
+            if size > MAX_RESPONSE_BYTES:
+                self._give_up("the announced answer is too large")
 
     def _read_keep_alive(self, value):
         for part in value.split(b","):
--- a/tests/proxy/test_unbounded.py
+++ b/tests/proxy/test_unbounded.py
@@ -123,3 +123,21 @@
                 outcome = await answer.outcome()
                 self.assertIsInstance(outcome, messages.Replied)
                 self.assertEqual(len(outcome.response.body), data.count(b"\r\na\r\n"))
+
+    # Guards against reading a body to the bound although its size was announced.
+    async def test_announced_size_beyond_the_bound_ends_at_the_head(self):
+        answer = Answer()
+        size = sending.MAX_RESPONSE_BYTES + 1
+        await answer.feed(OK + b"Content-Length: %d\r\n\r\n" % size)
+        self.assertTrue(answer.transport.closed)
+        self.assertIsInstance(await answer.outcome(), messages.Broken)
+
+    # Guards against refusing an announced size where no body follows.
+    async def test_size_of_a_body_that_is_not_sent_is_not_judged(self):
+        data = OK + b"Content-Length: %d\r\n\r\n" % (sending.MAX_RESPONSE_BYTES + 1)
+        answer = Answer("HEAD")
+        await answer.feed(data)
+        self.assertIsInstance(await answer.outcome(), messages.Replied)
+        answer = Answer()
+        await answer.feed(data.replace(b"200 OK", b"304 Not Modified"))
+        self.assertIsInstance(await answer.outcome(), messages.Replied)
