Keep no connection on which bytes followed a whole answer

What would be seen: a target sends the start of another answer right behind a whole one; the connection was kept, and what came next was read as the answer to the next request there. That request fails (502) although its target is sound, or skips bytes that look like an answer.

Cause: a second answer was noticed only when it was whole, or by a later read that came while no request was at work.

Change: the first byte of another message behind a whole answer closes the connection.

Test: test_connection_with_bytes_behind_an_answer_is_not_kept failed before in its four cases: "AssertionError: True is not false" (the connection was clean). test_wire as before.

--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -116,6 +116,11 @@
         self._finish(messages.Broken(detail, True))
         self.discard()
 
+    def on_message_begin(self):
+        if self.message.complete:
+            # Another answer follows that no request waits for.
+            self.discard()
+
     def on_header(self, name, value):
         # What follows a body are trailers: they may be left out, and end nowhere.
         if self.tally.in_head:
--- a/tests/proxy/test_unbounded.py
+++ b/tests/proxy/test_unbounded.py
@@ -189,3 +189,18 @@
         await answer.feed(b"0\r\n\r\n")
         outcome = await answer.outcome()
         self.assertEqual(outcome.response.body, b"abcdef" * (100 * KIB))
+
+    # Guards against the start of another answer, sent behind a whole one, that is taken
+    # for the answer to the next request on a kept connection.
+    async def test_connection_with_bytes_behind_an_answer_is_not_kept(self):
+        whole = OK + b"Content-Length: 5\r\n\r\nwhole"
+        for behind in (b"H", OK, FOREIGN[:-1], b"HTTP/1.1 200 OK\r\n\r\n" + PIECE):
+            with self.subTest(behind[:40]):
+                answer = Answer()
+                await answer.feed(whole + behind)
+                outcome = await answer.outcome()
+                self.assertEqual(outcome.response.body, b"whole")
+                self.assertEqual(len(outcome.response.headers), 2)
+                self.assertFalse(answer.connection.clean)
+                self.assertTrue(answer.transport.closed)
+                self.assertEqual(answers.HELD.used, 0)
