Refuse a request whose head or framing does not end

What would be seen: a caller that sends a header's name or value without end, blank lines, or a chunk size, an extension or a trailer without end, holds a connection and memory of the proxy; a head until the time limit for heads, the others for good.

Cause: bytes of a head are counted when the parser reports a name and value as whole; chunk framing is never reported. The pause that a body may make was renewed by each read.

Change: all bytes of a request are counted as they arrive, less the body's. Beyond header_bytes and 1 KiB for what that limit does not count, and eight times the body for chunk framing, the request is refused: 431 in a head, 413 in a body.

Tests: test_unbounded_request_is_refused failed before in 8 of its 12 cases (blank lines, header name, header value, spaces before a value, chunk size, chunk extension, extensions of many chunks, trailer value): "AssertionError: False is not true" after 8 MiB each; now refused within 256 KiB. Its counterpart test_requests_within_the_limits_run (heads and bodies at the limits, in reads of one byte to all) passes before and after.

--- a/lentilrouter/proxy/serving.py
+++ b/lentilrouter/proxy/serving.py
@@ -19,6 +19,8 @@
 PIPELINE_MAX = 32  # requests of one connection at a time; more wait unread
 BODY_SECONDS = 30.0  # longest pause within a body
 BACKLOG = 1024
+FIRST_LINE_BYTES = 1024  # what a head may take beyond the bytes that are limited
+FRAMING_PER_BYTE = 8  # a chunk of one byte takes five more, and may be written longer
 
 
 class Incoming(messages.Request):
@@ -39,6 +41,7 @@
         "parser",
         "message",
         "head_bytes",
+        "overhead",
         "head_since",
         "in_head",
         "in_body",
@@ -56,6 +59,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.message = framing.Collector()
         self.head_bytes = 0
+        self.overhead = 0
         self.in_head = False
         self.in_body = False
         self.head_since = self.heard_at = self.arrived = time.monotonic()
@@ -84,10 +88,16 @@
         if self.closing:
             return
         self.heard_at = time.monotonic()
+        self.overhead += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(400)
+            return
+        # The parser tells of a name or value only once it is whole, of framing never.
+        allowed = self.server.limits().header_bytes + FIRST_LINE_BYTES
+        if self.overhead > allowed + FRAMING_PER_BYTE * self.message.size:
+            self._refuse(413 if self.in_body else 431)
 
     def on_message_begin(self):
         self.in_head = True
@@ -127,10 +137,12 @@
         if self.message.size + len(body) > self.server.limits().body_bytes:
             self._refuse(413)
             return
+        self.overhead -= len(body)
         self.message.add(body)
 
     def on_message_complete(self):
         self.head_bytes = 0
+        self.overhead = 0
         self.in_body = False
         message = self.message
         if self.broken:
