Read nothing behind a request that closes its connection

What would be seen: a caller with a request at work sends another one that is refused (431, 413) and goes on without end; until the first is answered, the proxy parses all of it and keeps the headers.

Cause: a refusal waits for the answers before it, and the bytes behind it were fed to the parser all the while; a read of up to 256 KB was parsed to its end after a refusal.

Change: behind a refusal, or a request that ends the connection, bytes are dropped unread (the reading itself goes on, since it tells when the caller leaves). After a refusal a head is not confirmed (102) any more.

--- a/lentilrouter/proxy/serving.py
+++ b/lentilrouter/proxy/serving.py
@@ -85,12 +85,18 @@
         self.pending.clear()
 
     def data_received(self, data):
-        if self.closing:
-            return
         self.heard_at = time.monotonic()
-        self.overhead += len(data)
+        for piece in framing.pieces(data):
+            # Behind a request that closes the connection nothing is read any more,
+            # also while earlier requests are at work.
+            if self.closing or self.broken:
+                return
+            self._parse(piece)
+
+    def _parse(self, piece):
+        self.overhead += len(piece)
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(400)
             return
@@ -108,6 +114,8 @@
         self._count_head(len(url))
 
     def on_header(self, name, value):
+        if self.broken:
+            return
         self._count_head(len(name) + len(value) + 4)
         name = name.lower()
         if name == b"expect" and value.lower() == b"100-continue":
@@ -127,7 +135,7 @@
         self.in_head = False
         self.in_body = True
         self.arrived = self.heard_at
-        if self.server.confirm:
+        if self.server.confirm and not self.broken:
             # A large body may take long on a slow link; that is not silence.
             self.transport.write(HEARD)
 
--- a/tests/proxy/test_unbounded.py
+++ b/tests/proxy/test_unbounded.py
@@ -282,6 +282,31 @@
                 )
                 self.assertEqual(caller.seen, [])
 
+    # Guards against a refused request that is read on, without end, while an earlier
+    # one of the same connection is still at work.
+    async def test_nothing_is_read_behind_a_refused_request(self):
+        for name in ("header value", "list of headers"):
+            with self.subTest(name):
+                start, piece, _ = REQUESTS[name]
+                caller = Caller()
+                caller.may_answer.clear()
+                await caller.feed(GET % 1)
+                await caller.feed(start)
+                await caller.feed_on(piece, MIB)
+                self.assertLess(caller.headers_held(), 20 * KIB)
+                caller.may_answer.set()
+                await asyncio.sleep(0.01)
+                self.assertTrue(caller.transport.closed)
+                answered = caller.transport.data.split(b"HTTP/1.1 ")[1:]
+                self.assertEqual([line[:3] for line in answered], [b"200", b"431"])
+
+    # Guards against one large read that is parsed to its end after it was refused.
+    async def test_large_read_is_not_parsed_beyond_a_refusal(self):
+        caller = Caller()
+        await caller.feed(b"GET / HTTP/1.1\r\n" + b"X: y\r\n" * (40 * KIB))
+        self.assertLess(caller.headers_held(), 20 * KIB)
+        self.assertTrue(caller.transport.closed)
+
     # Guards against bounds that refuse what callers may send.
     async def test_requests_within_the_limits_run(self):
         head = b"POST / HTTP/1.1\r\nX: %s\r\n" % (b"y" * (8 * KIB - 10))
