Allow an answer less chunk framing

What would be seen: targets that send small chunks without end keep the proxy's processor busy, and safe calls get no answer from another target in time.

Cause: framing was allowed to take as much as the body and 256 KiB; chunks of five bytes and more were never over that bound, and those of two bytes passed 100,000 chunks before they were.

Change: framing may take 64 KiB and a sixteenth of the body. Chunks of some 100 bytes and more stay without a bound of their own; of chunks of 16 bytes an answer may have about 26,000.

--- a/lentilrouter/proxy/answers.py
+++ b/lentilrouter/proxy/answers.py
@@ -5,7 +5,8 @@
 """
 
 MAX_HEAD_BYTES = 64 * 1024  # heads of an answer and of all that came before it
-MAX_FRAMING_BYTES = 256 * 1024  # chunk framing and trailers beyond the body's size
+MAX_FRAMING_BYTES = 64 * 1024  # chunk framing and trailers, besides the share below
+FRAMING_SHARE = 1 / 16  # of the body's bytes; each chunk costs processor time
 MAX_HELD_BYTES = 64 * 1024 * 1024  # bodies that are not whole yet, of all answers
 MAX_FOREIGN_ANSWERS = 8  # late answers to earlier requests, skipped for one request
 
@@ -49,7 +50,8 @@
             return True
         if self.in_head:
             return self.overhead > MAX_HEAD_BYTES
-        return self.overhead > MAX_HEAD_BYTES + MAX_FRAMING_BYTES + self.body
+        framing = MAX_FRAMING_BYTES + FRAMING_SHARE * self.body
+        return self.overhead > MAX_HEAD_BYTES + framing
 
 
 class Held:
