--- a/standins/target.py
+++ b/standins/target.py
@@ -17,12 +17,21 @@
     ``fault`` is one of ``error`` (500), ``shed`` (503, not run), ``unsigned`` (200
     without proof) and ``silent``, or empty. A request for a path that ends in ``crash``
     takes the target down. ``ran`` holds what was run: request id, path, headers and
-    body.
+    body. ``padding`` makes answers longer.
     """
 
     born = itertools.count(1_779_000_000_000)
 
-    def __init__(self, address, heartbeats, service, version="v1", slots=2, work=0.01):
+    def __init__(
+        self,
+        address,
+        heartbeats,
+        service,
+        version="v1",
+        slots=2,
+        work=0.01,
+        padding=b"",
+    ):
         self.id = f"i-{next(self.born):x}"
         self.address = address
         self.heartbeats = heartbeats
@@ -30,6 +39,7 @@
         self.version = version
         self.slots = slots
         self.work = work
+        self.padding = padding
         self.started = next(self.born)
         self.sequence = 0
         self.state = "ready"
@@ -111,4 +121,5 @@
         status = 500 if self.fault == "error" else 200
         if self.fault != "unsigned":
             echo.append((b"x-server-stamp", b"stamp"))
-        return messages.Response(status, echo, b"answer to " + id.encode())
+        body = b"answer to " + id.encode() + self.padding
+        return messages.Response(status, echo, body)
--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -111,6 +111,9 @@
 class Machine:
     """Run one proxy as a real process on a loopback address, with its target."""
 
+    module = "lentilrouter.platform.entry"
+    target_kind = target.PlatformTarget
+
     def __init__(self, store, peer_port, service="ledger", **options):
         self.ip = f"127.0.{next(HOSTS)}.1"
         self.peer_port = peer_port
@@ -118,7 +121,7 @@
         self.callers, self.ready, self.heartbeats, app = (
             f"{self.ip}:{port}" for port in ports[:4]
         )
-        self.target = target.PlatformTarget(app, self.heartbeats, service, **options)
+        self.target = self.target_kind(app, self.heartbeats, service, **options)
         self.folder = tempfile.TemporaryDirectory()
         self.path = pathlib.Path(self.folder.name) / "proxy.ini"
         self.path.write_text(
@@ -146,13 +149,17 @@
         """Start the process."""
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "lentilrouter.platform.entry"],
+                [sys.executable, "-m", self.module],
                 cwd=ROOT,
-                env={**os.environ, "LENTILROUTER_BOOT": str(self.path)},
+                env={**os.environ, **self.environment()},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def environment(self):
+        """Return the variables that the process gets."""
+        return {"LENTILROUTER_BOOT": str(self.path)}
+
     def kill(self, number=signal.SIGKILL):
         """Send a signal to the process."""
         self.process.send_signal(number)
@@ -193,9 +200,13 @@
         # Between two answers of a watch lies a pause; then all know one another.
         await asyncio.sleep(registry.URGENT_PAUSE_SECONDS + 0.2)
 
+    def build(self, **options):
+        """Return a machine that is not started yet."""
+        return Machine(self.address, self.peer_port, **options)
+
     async def add(self, **options):
         """Start one more machine."""
-        machine = Machine(self.address, self.peer_port, **options)
+        machine = self.build(**options)
         self.machines.append(machine)
         await machine.target.start()
         machine.start()
