Close a stopping connection only with its last answer

Callers that pipelined safe requests saw, from SIGTERM on, every answer say that the connection closes. They drop what comes behind the first such answer and send those requests again, though they had run or were at work; those still at work were cancelled when the caller closed.

Cause: each answer was encoded when it was ready, with "close" as soon as the server drained, whatever waited behind it. Now an answer is encoded when it is written, and only the last one on the connection closes it.

Test: test_only_the_last_answer_closes_the_connection, before: `Tuples differ: ('/slow', True) != ('/slow', False)`. test_request_behind_the_closing_answer_does_not_run passed before as well.

--- a/lentilrouter/proxy/serving.py
+++ b/lentilrouter/proxy/serving.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
 
 import httptools
@@ -30,6 +31,18 @@
     __slots__ = ("arrived", "source", "keep_alive")
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """Hold one request of a connection until its answer is written.
+
+    ``task`` works on it, and is ``None`` once there is a ``response``.
+    """
+
+    task: asyncio.Task | None = None
+    response: messages.Response | None = None
+    head_only: bool = False
+
+
 class ServerConnection(asyncio.Protocol):
     """Receive the requests of one connection."""
 
@@ -75,9 +88,9 @@
         self.closing = True
         self.server.connections.discard(self)
         self.message.reset()
-        for task, _ in self.pending:
-            if task is not None:
-                task.cancel()
+        for entry in self.pending:
+            if entry.task is not None:
+                entry.task.cancel()
         self.pending.clear()
 
     def data_received(self, data):
@@ -145,10 +158,10 @@
         request.keep_alive = self.parser.should_keep_alive()
         message.reset()
         self.server.active += 1
-        entry = [None, None]
+        entry = Entry(head_only=method == "HEAD")
         self.pending.append(entry)
-        entry[0] = self.server.loop.create_task(self._answer(request, entry))
-        entry[0].add_done_callback(self.server.ended)
+        entry.task = self.server.loop.create_task(self._answer(request, entry))
+        entry.task.add_done_callback(self.server.ended)
         if not request.keep_alive:
             self.broken = True
         if len(self.pending) >= PIPELINE_MAX and not self.paused:
@@ -157,20 +170,23 @@
 
     async def _answer(self, request, entry):
         response = await self.server.handler(request)
-        keep = request.keep_alive and not self.server.draining
-        entry[1] = framing.encode_response(
-            response, keep, head_only=request.method == "HEAD"
-        )
-        entry[0] = None
-        if not keep:
-            self.broken = True
+        entry.response = response
+        entry.task = None
         self._flush()
 
     def _flush(self):
-        """Write the answers that are ready, in the order of the requests."""
+        """Write the answers that are ready, in the order of the requests.
+
+        Only the last one may close the connection: callers drop what comes behind it
+        and send those requests again.
+        """
         pending, ready = self.pending, []
-        while pending and pending[0][1] is not None:
-            ready.append(pending.popleft()[1])
+        while pending and pending[0].response is not None:
+            entry = pending.popleft()
+            if not pending and self.server.draining:
+                self.broken = True
+            keep = bool(pending) or not self.broken
+            ready.append(framing.encode_response(entry.response, keep, entry.head_only))
         if ready and not self.transport.is_closing():
             self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.heard_at = time.monotonic()
@@ -187,8 +203,7 @@
             return
         self.broken = True
         self.server.refused(status)
-        response = self.server.refusal(status)
-        self.pending.append([None, framing.encode_response(response, False)])
+        self.pending.append(Entry(response=self.server.refusal(status)))
         self._flush()
 
     def pause_writing(self):
