--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -7,10 +7,13 @@
 import anyio
 
 from lentilrouter.conf import defaults, loader
+from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import (
     answering,
     belief,
+    carrying,
+    forwarding,
     registry,
     services,
     serving,
@@ -18,8 +21,10 @@
 )
 
 TICK_SECONDS = 0.25
+IDLE_POLL_SECONDS = 0.02
 READY_OUT_SECONDS = 2.3  # two questions a second apart without a 200, and the way
 HAND_OVER_SECONDS = 0.8  # before that, other proxies hear that calls go elsewhere
+LAST_CALLS_SECONDS = 3.0  # after SIGTERM; a later call might not end in time
 EXIT_MARGIN_SECONDS = 0.5  # of the grace, for closing connections
 PEER_LIMITS = sheets.Limits(header_bytes=1024 * 1024, idle_seconds=60.0)
 
@@ -131,8 +136,43 @@
         services.hosting.stop()
         await anyio.sleep(min(out, HAND_OVER_SECONDS))
         self.callers.listener.close()
-        while services.clock() < end and self.callers.active + self.peers.active:
-            await anyio.sleep(0.02)
+        await self._idle(min(began + LAST_CALLS_SECONDS, end))
+        self.callers.handler = self._refuse_late
+        # What waits for a slot here has time to go elsewhere; what has one goes on.
+        services.hosting.gate.close(outcomes.Reason.DRAINING)
+        await self._idle(end)
+        self.callers.give_up(self._give_up)
+        self.callers.close()
+        self.peers.close()
+        await anyio.sleep(IDLE_POLL_SECONDS)  # in which the last bytes leave
+
+    async def _idle(self, until):
+        """Wait until nothing is in flight, at the longest until a time."""
+        while self.services.clock() < until:
+            if not self.callers.active + self.peers.active:
+                return
+            await anyio.sleep(IDLE_POLL_SECONDS)
+
+    def _give_up(self, request):
+        """Answer a call that has not ended when this process must."""
+        services = self.services
+        id = request.header(services.dialect.REQUEST_ID) or ""
+        seconds = round(services.clock() - request.arrived, 4)
+        status = carrying.DEADLINE_STATUS
+        services.log.request(
+            "failed", id, status=status, detail="process ends", seconds=seconds
+        )
+        return messages.Response(status, [], b"the call may have run\n")
+
+    async def _refuse_late(self, request):
+        """Refuse a call that might not end before this process does."""
+        services = self.services
+        seconds = services.random.uniform(*forwarding.RETRY_AFTER_UNKNOWN_SECONDS)
+        id = request.header(services.dialect.REQUEST_ID) or ""
+        services.counters.refused("stopping")
+        services.log.request("refused", id, reason="stopping", retry_after=seconds)
+        headers = [(b"retry-after", b"%.3f" % seconds)]
+        return messages.Response(503, headers, b"not run\n")
 
     def reload(self):
         """Read the settings again; what cannot change while running is said."""
--- a/lentilrouter/proxy/serving.py
+++ b/lentilrouter/proxy/serving.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
 
 import httptools
@@ -32,6 +33,24 @@
     __slots__ = ("arrived", "source", "keep_alive")
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """Hold one request of a connection until its answer is written.
+
+    ``task`` works on it, and is ``None`` once there is a ``response``. A request that
+    could not be read whole is ``None``.
+    """
+
+    request: Incoming | None = None
+    task: asyncio.Task | None = None
+    response: messages.Response | None = None
+
+    def encode(self, keep_alive):
+        """Return the bytes of the answer."""
+        head_only = self.request is not None and self.request.method == "HEAD"
+        return framing.encode_response(self.response, keep_alive, head_only)
+
+
 class ServerConnection(asyncio.Protocol):
     """Receive the requests of one connection."""
 
@@ -79,9 +98,9 @@
         self.closing = True
         self.server.connections.discard(self)
         self.message.reset()
-        for task, _ in self.pending:
-            if task is not None:
-                task.cancel()
+        for entry in self.pending:
+            if entry.task is not None:
+                entry.task.cancel()
         self.pending.clear()
 
     def data_received(self, data):
@@ -164,10 +183,10 @@
         request.keep_alive = self.parser.should_keep_alive()
         message.reset()
         self.server.active += 1
-        entry = [None, None]
+        entry = Entry(request)
         self.pending.append(entry)
-        entry[0] = self.server.loop.create_task(self._answer(request, entry))
-        entry[0].add_done_callback(self.server.ended)
+        entry.task = self.server.loop.create_task(self._answer(request, entry))
+        entry.task.add_done_callback(self.server.ended)
         if not request.keep_alive:
             self.broken = True
         if len(self.pending) >= PIPELINE_MAX and not self.paused:
@@ -176,20 +195,22 @@
 
     async def _answer(self, request, entry):
         response = await self.server.handler(request)
-        keep = request.keep_alive and not self.server.draining
-        entry[1] = framing.encode_response(
-            response, keep, head_only=request.method == "HEAD"
-        )
-        entry[0] = None
-        if not keep:
-            self.broken = True
+        entry.response = response
+        entry.task = None
         self._flush()
 
     def _flush(self):
-        """Write the answers that are ready, in the order of the requests."""
+        """Write the answers that are ready, in the order of the requests.
+
+        Only the last one may close the connection: callers drop what comes behind it
+        and send those requests again.
+        """
         pending, ready = self.pending, []
-        while pending and pending[0][1] is not None:
-            ready.append(pending.popleft()[1])
+        while pending and pending[0].response is not None:
+            entry = pending.popleft()
+            if not pending and self.server.draining:
+                self.broken = True
+            ready.append(entry.encode(bool(pending) or not self.broken))
         if ready and not self.transport.is_closing():
             self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
         self.heard_at = time.monotonic()
@@ -200,14 +221,22 @@
             self.closing = True
             self.transport.close()
 
+    def give_up(self, answer):
+        """Stop work on what has no answer yet, answer it by ``answer``, and close."""
+        for entry in self.pending:
+            if entry.task is not None:
+                entry.task.cancel()
+                entry.task, entry.response = None, answer(entry.request)
+        self.broken = True
+        self._flush()
+
     def _refuse(self, status):
         """Answer a request that cannot be read whole, then close."""
         if self.broken:
             return
         self.broken = True
         self.server.refused(status)
-        response = self.server.refusal(status)
-        self.pending.append([None, framing.encode_response(response, False)])
+        self.pending.append(Entry(response=self.server.refusal(status)))
         self._flush()
 
     def pause_writing(self):
@@ -279,6 +308,11 @@
         for connection in list(self.connections):
             connection.check(now)
 
+    def give_up(self, answer):
+        """Answer each request under way with what ``answer`` returns, and close."""
+        for connection in list(self.connections):
+            connection.give_up(answer)
+
     def close(self):
         """Stop to listen and close every connection."""
         if self.listener is not None:
--- /dev/null
+++ b/tests/proxy/test_stopping.py
@@ -0,0 +1,164 @@
+"""The end of a proxy, as callers and other proxies see it."""
+
+import asyncio
+import signal
+import time
+import unittest
+
+from lentilrouter.datapath import messages
+from lentilrouter.proxy import serving, sheets
+from tests.proxy import doubles
+
+GET = "GET {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\n\r\n"
+
+
+class Caller:
+    """Send requests on one connection and read the answers as they come."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address):
+        """Return a caller with a connection to ``IP:port``."""
+        ip, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(ip, int(port)))
+
+    def send(self, path, id="1"):
+        """Send a request without waiting."""
+        self.writer.write(GET.format(path, id).encode())
+
+    async def answer(self):
+        """Return the next whole answer; raise if the connection ends before it."""
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode().split("\r\n")
+        pairs = [line.split(": ", 1) for line in lines if line]
+        headers = [(name.encode(), value.encode()) for name, value in pairs]
+        size = int(dict(pairs)["content-length"])
+        body = await self.reader.readexactly(size)
+        return messages.Response(int(first.split()[1]), headers, body)
+
+
+class ServerTests(unittest.IsolatedAsyncioTestCase):
+    """Stop one server while requests are under way."""
+
+    async def asyncSetUp(self):
+        self.work = {"/slow": 0.2, "/fast": 0.01}
+        self.ran = []
+        self.server = serving.Server(self.handle, sheets.Limits, None, None)
+        (port,) = doubles.free_ports(1)
+        await self.server.start(f"127.0.0.1:{port}")
+        self.addCleanup(self.server.close)
+        self.caller = await Caller.connect(f"127.0.0.1:{port}")
+        self.addCleanup(self.caller.writer.close)
+
+    async def handle(self, request):
+        self.ran.append(request.target)
+        await asyncio.sleep(self.work[request.target])
+        return messages.Response(200, [], request.target.encode())
+
+    async def closes(self):
+        answer = await asyncio.wait_for(self.caller.answer(), 2)
+        return answer.body.decode(), answer.header(b"connection") == "close"
+
+    async def test_only_the_last_answer_closes_the_connection(self):
+        # Answers to pipelined requests came behind one that closed the connection:
+        # callers dropped them and sent requests again that had run.
+        self.caller.send("/slow")
+        self.caller.send("/fast")
+        await asyncio.sleep(0.05)
+        self.server.draining = True
+        self.caller.send("/fast")
+        self.assertEqual(await self.closes(), ("/slow", False))
+        self.assertEqual(await self.closes(), ("/fast", False))
+        self.assertEqual(await self.closes(), ("/fast", True))
+        self.assertEqual(await self.caller.reader.read(), b"")
+
+    async def test_request_behind_the_closing_answer_does_not_run(self):
+        self.server.draining = True
+        self.caller.send("/fast")
+        self.assertEqual(await self.closes(), ("/fast", True))
+        self.caller.send("/slow")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.ran, ["/fast"])
+
+
+class ProxyTests(unittest.IsolatedAsyncioTestCase):
+    """Stop the proxy of the first machine of a mesh."""
+
+    async def start(self, count=1, **options):
+        self.mesh = doubles.Mesh()
+        self.addCleanup(self.mesh.close)
+        route = doubles.route(timeout_s=9.0, goal_s=9.0, attempts=1)
+        self.mesh.store.put("op/config", doubles.config(7, route))
+        await self.mesh.start(count, **options)
+        self.machine = self.mesh.machines[0]
+        self.target = self.machine.target
+        beating = asyncio.create_task(self.beat())
+        self.addCleanup(beating.cancel)
+
+    async def beat(self):
+        while True:
+            for machine in self.mesh.machines:
+                await machine.target.beat()
+            await asyncio.sleep(1.0)
+
+    async def caller(self):
+        caller = await Caller.connect(self.machine.callers)
+        self.addCleanup(caller.writer.close)
+        return caller
+
+    async def stop_and_wait(self, seconds):
+        self.stopped_at = time.monotonic()
+        self.machine.kill(signal.SIGTERM)
+        await asyncio.sleep(seconds)
+
+    def ran(self):
+        return [row[0] for m in self.mesh.machines for row in m.target.ran]
+
+    async def test_late_call_on_a_kept_connection_is_refused_not_cut(self):
+        # A call that came 4 s after SIGTERM was at work when the process ended: its
+        # connection closed without an answer.
+        await self.start(2, work=4.9)
+        first, kept = await self.caller(), await self.caller()
+        first.send("/read/1", "first")
+        await asyncio.sleep(0.1)
+        await self.stop_and_wait(4.0)
+        for machine in self.mesh.machines:
+            machine.target.work = 3.0
+        kept.send("/read/2", "late")
+        answer = await kept.answer()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.header(b"connection"), "close")
+        self.assertGreater(float(answer.header(b"retry-after")), 0)
+        self.assertEqual((await first.answer()).status, 200)
+        self.assertEqual(self.ran(), ["first"])
+
+    async def test_call_that_waits_for_a_slot_is_refused_not_cut(self):
+        # A call that waited at the gate when SIGTERM came was still waiting when the
+        # process ended: its connection closed without an answer.
+        await self.start(work=8.0, slots=1)
+        first, second = await self.caller(), await self.caller()
+        first.send("/read/1", "first")
+        await asyncio.sleep(0.1)
+        second.send("/read/2", "second")
+        await asyncio.sleep(0.1)
+        await self.stop_and_wait(0)
+        answer = await second.answer()
+        self.assertEqual(answer.status, 503)
+        self.assertLess(time.monotonic() - self.stopped_at, 4.0)
+        self.assertEqual(self.ran(), ["first"])
+
+    async def test_call_at_work_at_the_end_is_told_that_it_may_have_run(self):
+        # At the end of the grace time a call at work lost its connection unanswered.
+        await self.start(work=8.0)
+        caller = await self.caller()
+        caller.send("/read/1")
+        await asyncio.sleep(0.1)
+        await self.stop_and_wait(0)
+        answer = await caller.answer()
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(answer.header(b"connection"), "close")
+        self.assertGreater(time.monotonic() - self.stopped_at, 5.0)
+        self.assertEqual(await asyncio.to_thread(self.machine.process.wait, 5), 0)
