Log how long, how large and how many a read of the operator's keys was

The lines could not tell a slow answer from a slow reading of it, nor how many versions came in one answer. A new line operator-read has call, seconds, changes and bytes; sheet has parse_seconds. No change of behaviour; no figures yet.

--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -95,16 +95,19 @@
             if prefix == OWN_PREFIX:
                 # While the store is away only the other watch asks whether it is back.
                 await self.reachable.wait()
+            asked = services.clock()
             scanned = await services.vault.scan(prefix)
             if isinstance(scanned, vault.Away):
                 self._lost(prefix, scanned.reason)
                 await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
                 continue
             self._regained(prefix)
+            self._note_read(prefix, "scan", asked, scanned.items)
             self._take_all(prefix, scanned, take)
             at = scanned.at
             while True:
                 seconds = services.settings.store.watch_seconds
+                asked = services.clock()
                 result = await services.vault.watch(prefix, at, seconds)
                 if isinstance(result, vault.Forgotten):
                     services.log.event("history-gone", prefix=prefix, after=at)
@@ -113,12 +116,27 @@
                     self._lost(prefix, result.reason)
                     await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
                     break
+                self._note_read(prefix, "watch", asked, result.changes)
                 for change in result.changes:
                     self._take(change, take)
                 at = max(at, result.at)
                 if result.changes:
                     await self._rest(prefix)
 
+    def _note_read(self, prefix, call, asked, changes):
+        """Log an answer with what the operator wrote; ``seconds`` include the wait."""
+        services = self.services
+        if prefix != services.adapter.OPERATOR_PREFIX or not changes:
+            return
+        values = [change.value for change in changes if isinstance(change, vault.Item)]
+        services.log.event(
+            "operator-read",
+            call=call,
+            seconds=round(services.clock() - asked, 3),
+            changes=len(changes),
+            bytes=sum(len(value) for value in values),
+        )
+
     async def _rest(self, prefix):
         """Wait before the next watch of a prefix; an order ends a long wait."""
         if prefix != OWN_PREFIX:
@@ -212,6 +230,7 @@
 
     def _take_sheet(self, change):
         services = self.services
+        began = services.clock()
         sheet = services.adapter.read_sheet(change.value)
         if isinstance(sheet, services.adapter.Unreadable):
             services.log.event(
@@ -231,6 +250,7 @@
             version=sheet.version,
             revision=change.revision,
             routes=len(sheet.routes),
+            parse_seconds=round(services.clock() - began, 4),
         )
 
     def take_own(self, change):
