Read only the newest configuration after a change, not every version

Cause: a watch brings every version since the last one, each with the whole configuration. On a slow link the next answer then takes the time of all of them, and more come meanwhile.

Evidence: tests.proxy.test_following, a store stand-in whose link carries one configuration in 0.33 s, 24 versions 0.15 s apart.

Change: after a new sheet the proxy rests and scans, until a scan brings no news, and only then watches again. An answer holds one version however many were written. The time of a scan counts towards the rest. In force after at most two scans, the rest and the reading: 0.33 + 0.47 + 0.33 s on that link, 2.2 s where a scan takes 1 s. Cost: one more call for each proxy and change on its own, and one more configuration over its link.

--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -16,11 +16,13 @@
 MOVES_PREFIX = OWN_PREFIX + "moves/"
 BASES_PREFIX = OWN_PREFIX + "bases/"
 STEWARDS_PREFIX = OWN_PREFIX + "stewards/"
-# Between watches: changes in quick succession come in one answer, and each is a call to
-# the store. The operator's changes are due everywhere in 2 s, a slow store included. Of
-# its own news each proxy tells the others; only a steward lost while a move runs,
-# and proxies that started at the same time, must be seen in the store soon.
-OPERATOR_PAUSE_SECONDS = 0.8
+# Between reads: changes in quick succession come in one answer, and each is a call to
+# the store. The operator's changes are due everywhere in 2 s; that bounds the way of
+# two answers and the rest between them. Of its own news each proxy tells the others;
+# only a steward lost while a move runs, and proxies that started at the same time, must
+# be seen in the store soon.
+OPERATOR_PERIOD_SECONDS = 0.8  # from one scan to the next while changes come
+OPERATOR_PAUSE_SECONDS = 0.2  # at least, where a scan takes longer than the rest
 PAUSE_SECONDS = 3.0
 URGENT_PAUSE_SECONDS = 1.0
 STARTING_SECONDS = 6.0  # the time of a lease: then all that lived before is settled
@@ -61,6 +63,7 @@
         "scanned",
         "items",
         "reachable",
+        "scan_seconds",
         "started",
         "ordered",
     )
@@ -80,6 +83,7 @@
         self.items = {}
         self.reachable = asyncio.Event()
         self.reachable.set()
+        self.scan_seconds = 0.0
         self.started = services.clock()
         self.ordered = asyncio.Event()
 
@@ -89,39 +93,63 @@
         return TARGETS_PREFIX + self.services.settings.proxy.address
 
     async def follow(self, prefix, take):
-        """Scan and watch a prefix for ever; ``take`` gets each item or removal."""
-        services = self.services
+        """Scan and watch a prefix for ever; ``take`` gets each item or removal.
+
+        A watch brings every version written since the last one, a scan only the newest.
+        So a new sheet is followed by scans until one brings no news.
+        """
+        first = True
         while True:
             if prefix == OWN_PREFIX:
                 # While the store is away only the other watch asks whether it is back.
                 await self.reachable.wait()
-            asked = services.clock()
-            scanned = await services.vault.scan(prefix)
+            scanned = await self._scan(prefix)
             if isinstance(scanned, vault.Away):
                 self._lost(prefix, scanned.reason)
-                await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
+                await asyncio.sleep(self.services.random.uniform(*RETRY_SECONDS))
                 continue
             self._regained(prefix)
+            news = self._take_all(prefix, scanned, take)
+            if news and not first and prefix != OWN_PREFIX:
+                await self._rest(prefix)
+                continue
+            first = False
+            await self._watch(prefix, scanned.at, take)
+
+    async def _scan(self, prefix):
+        services = self.services
+        asked = services.clock()
+        scanned = await services.vault.scan(prefix)
+        if isinstance(scanned, vault.Scanned):
             self._note_read(prefix, "scan", asked, scanned.items)
-            self._take_all(prefix, scanned, take)
-            at = scanned.at
-            while True:
-                seconds = services.settings.store.watch_seconds
-                asked = services.clock()
-                result = await services.vault.watch(prefix, at, seconds)
-                if isinstance(result, vault.Forgotten):
-                    services.log.event("history-gone", prefix=prefix, after=at)
-                    break
-                if isinstance(result, vault.Away):
-                    self._lost(prefix, result.reason)
-                    await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
-                    break
-                self._note_read(prefix, "watch", asked, result.changes)
-                for change in result.changes:
-                    self._take(change, take)
-                at = max(at, result.at)
-                if result.changes:
-                    await self._rest(prefix)
+            if prefix != OWN_PREFIX:
+                self.scan_seconds = services.clock() - asked
+        return scanned
+
+    async def _watch(self, prefix, at, take):
+        """Watch until a scan is due: no answer, no history, or a new sheet."""
+        services = self.services
+        while True:
+            seconds = services.settings.store.watch_seconds
+            asked = services.clock()
+            result = await services.vault.watch(prefix, at, seconds)
+            if isinstance(result, vault.Forgotten):
+                services.log.event("history-gone", prefix=prefix, after=at)
+                return
+            if isinstance(result, vault.Away):
+                self._lost(prefix, result.reason)
+                await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
+                return
+            self._note_read(prefix, "watch", asked, result.changes)
+            for change in result.changes:
+                self._take(change, take)
+            at = max(at, result.at)
+            if not result.changes:
+                continue
+            await self._rest(prefix)
+            keys = {change.key for change in result.changes}
+            if services.adapter.CONFIG_KEY in keys:
+                return
 
     def _note_read(self, prefix, call, asked, changes):
         """Log an answer with what the operator wrote; ``seconds`` include the wait."""
@@ -138,9 +166,10 @@
         )
 
     async def _rest(self, prefix):
-        """Wait before the next watch of a prefix; an order ends a long wait."""
+        """Wait before the next read of a prefix; an order ends a long wait."""
         if prefix != OWN_PREFIX:
-            await asyncio.sleep(OPERATOR_PAUSE_SECONDS)
+            left = OPERATOR_PERIOD_SECONDS - self.scan_seconds
+            await asyncio.sleep(max(left, OPERATOR_PAUSE_SECONDS))
             return
         if self.services.clock() - self.started < STARTING_SECONDS or self._moving():
             await asyncio.sleep(URGENT_PAUSE_SECONDS)
@@ -154,19 +183,23 @@
         return any(self.services.steward.concerns(order) for order in self.orders)
 
     def _take_all(self, prefix, scanned, take):
+        """Take in a scan; return whether it brought news."""
+        news = False
         present = {item.key for item in scanned.items}
         for key in [k for k in self.revisions if k.startswith(prefix)]:
             if key not in present and self.revisions[key] > 0:
-                self._take(vault.Removed(key, scanned.at), take)
+                news |= self._take(vault.Removed(key, scanned.at), take)
         for item in scanned.items:
-            self._take(item, take)
+            news |= self._take(item, take)
         if prefix == OWN_PREFIX:
             self.scanned.set()
+        return news
 
     def _take(self, change, take):
+        """Take in a change if it is news, and return whether it is."""
         known = abs(self.revisions.get(change.key, 0))
         if change.revision <= known:
-            return
+            return False
         removed = isinstance(change, vault.Removed)
         self.revisions[change.key] = -change.revision if removed else change.revision
         if removed:
@@ -174,6 +207,7 @@
         else:
             self.items[change.key] = change
         take(change)
+        return True
 
     def _lost(self, prefix, reason):
         if prefix not in self.away:
--- a/standins/vault.py
+++ b/standins/vault.py
@@ -19,7 +19,8 @@
 
     ``fault`` is one of ``busy`` (503), ``many`` (429), ``silent`` (no answer) and
     ``lost`` (writes are done and not answered), or empty. With ``refuses_writes`` only
-    writes are answered 503.
+    writes are answered 503. ``bytes_per_second`` is what the link to a proxy carries,
+    one answer after the other; ``None`` for no limit.
     """
 
     def __init__(self):
@@ -32,6 +33,8 @@
         self.changed = asyncio.Event()
         self.fault = ""
         self.refuses_writes = False
+        self.bytes_per_second = None
+        self.link = asyncio.Lock()
         self.calls = []
         self.server = serving.Server(
             self.answer, sheets.Limits, lambda status: _reply(status), lambda s: None
@@ -92,7 +95,14 @@
             self.end_lease(lease)
 
     async def answer(self, request):
-        """Answer one call."""
+        """Answer one call, as fast as the link carries the answer."""
+        reply = await self._answer(request)
+        if self.bytes_per_second is not None:
+            async with self.link:
+                await asyncio.sleep(len(reply.body) / self.bytes_per_second)
+        return reply
+
+    async def _answer(self, request):
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         self.calls.append(path)
--- /dev/null
+++ b/tests/proxy/test_following.py
@@ -0,0 +1,106 @@
+"""How soon a proxy holds what the operator wrote, on a slow link to the store."""
+
+import asyncio
+import random
+import time
+import types
+import unittest
+
+from lentilrouter.platform import sheets as adapter
+from lentilrouter.platform import store
+from lentilrouter.proxy import counters, registry, sending
+from standins import vault
+from tests.proxy import doubles
+
+IN_FORCE_SECONDS = 2.0  # the shortest bound that the platform's sites set
+STEP_SECONDS = 0.05
+
+
+class Services:
+    """Hold what a registry needs to follow the operator's keys."""
+
+    def __init__(self, address):
+        self.settings = doubles.settings()
+        self.clock = time.monotonic
+        self.random = random.Random(7)
+        self.adapter = adapter
+        self.holder = registry.Holder()
+        self.counters = counters.Counters()
+        self.log = types.SimpleNamespace(event=self.note)
+        self.lines = []
+        self.client = sending.Client()
+        timeout = self.settings.store.timeout_seconds
+        self.vault = store.PlatformVault(self.client, address, timeout)
+        self.registry = registry.Registry(self)
+
+    def note(self, kind, /, **fields):
+        """Keep a line of the log."""
+        self.lines.append((kind, fields))
+
+    def held(self):
+        """Return the version in force, 0 for none."""
+        return self.holder.sheet.version if self.holder.sheet else 0
+
+
+class SlowLinkTests(unittest.IsolatedAsyncioTestCase):
+    """A whole configuration takes a third of a second or more to reach the proxy."""
+
+    async def asyncSetUp(self):
+        self.store = vault.VaultServer()
+        address = f"127.0.0.1:{doubles.free_ports(1)[0]}"
+        await self.store.start(address)
+        self.version = 0
+        self.acknowledged = {}
+        self.change()
+        self.services = Services(address)
+
+    async def asyncTearDown(self):
+        self.following.cancel()
+        await asyncio.gather(self.following, return_exceptions=True)
+        self.services.client.close()
+        self.store.close()
+
+    def change(self):
+        """Write the next version of the configuration as the operator does."""
+        self.version += 1
+        routes = [doubles.route(f"/r{number}/") for number in range(20)]
+        self.store.put("op/config", doubles.config(self.version, *routes))
+        self.acknowledged[self.version] = time.monotonic()
+
+    def carry_in(self, seconds):
+        """Make the link so slow that one configuration takes so long."""
+        size = len(self.store.items["op/config"]["value"])
+        self.store.bytes_per_second = size / seconds
+
+    async def follow(self):
+        """Start to follow the operator's keys, and wait for the first version."""
+        book = self.services.registry
+        self.following = asyncio.create_task(
+            book.follow(adapter.OPERATOR_PREFIX, book.take_operator)
+        )
+        async with asyncio.timeout(10.0):
+            while not self.services.held():
+                await asyncio.sleep(STEP_SECONDS)
+
+    def lateness(self):
+        """Return for how long the oldest version not yet in force has been stored."""
+        missing = [v for v in self.acknowledged if v > self.services.held()]
+        if not missing:
+            return 0.0
+        return time.monotonic() - self.acknowledged[min(missing)]
+
+    # Guards against: a proxy that reads every version of a quick succession, falls
+    # behind on a slow link and acts on an older one for seconds (issue 13, CONFIG).
+    async def test_quick_succession_of_versions_is_in_force_in_time(self):
+        self.carry_in(0.33)
+        await self.follow()
+        worst = 0.0
+        for _ in range(24):
+            self.change()
+            for _ in range(3):
+                await asyncio.sleep(STEP_SECONDS)
+                worst = max(worst, self.lateness())
+        while self.lateness():
+            await asyncio.sleep(STEP_SECONDS)
+            worst = max(worst, self.lateness())
+        self.assertLess(worst, IN_FORCE_SECONDS)
