--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -1,4 +1,4 @@
-"""Keep this proxy's view of the store current, and its own entry there.
+"""Keep this proxy's view of the store current; ``entry`` keeps its own entry there.
 
 Two watches run: one on what the operator writes, one on what the proxies write. A view
 never goes back: revisions and versions only rise, and a store that is away changes
@@ -7,14 +7,13 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
-from lentilrouter.proxy import directory, exchange, moves, vault
+from lentilrouter.proxy import directory, entry, moves, vault
 
-OWN_PREFIX = "lentilrouter/"
-TARGETS_PREFIX = OWN_PREFIX + "targets/"
+OWN_PREFIX = entry.OWN_PREFIX
+TARGETS_PREFIX = entry.TARGETS_PREFIX
 MOVES_PREFIX = OWN_PREFIX + "moves/"
-BASES_PREFIX = OWN_PREFIX + "bases/"
+BASES_PREFIX = entry.BASES_PREFIX
 STEWARDS_PREFIX = OWN_PREFIX + "stewards/"
 # Between reads: changes in quick succession come in one answer, and each is a call to
 # the store. The operator's changes are due everywhere in 2 s; that bounds the way of
@@ -26,8 +25,7 @@
 PAUSE_SECONDS = 3.0
 URGENT_PAUSE_SECONDS = 1.0
 STARTING_SECONDS = 6.0  # the time of a lease: then all that lived before is settled
-RETRY_SECONDS = (0.3, 0.9)  # random, so that proxies don't return to the store at once
-RENEWALS = 3  # renewals in the time of one lease
+RETRY_SECONDS = entry.RETRY_SECONDS
 QUESTIONS = 2  # in a row without an answer; one may be lost on the way
 ASK_AGAIN_SECONDS = 0.3
 STILL_THERE_SECONDS = 1.5  # between questions to a host that lives without an entry
@@ -43,7 +41,7 @@
 
 
 class Registry:
-    """Follow the store and write this proxy's entry.
+    """Follow the store; ``own`` writes this proxy's entry.
 
     ``services`` gives vault, adapter for values, holder, directory, bases, hosting,
     log, clock, random and settings; ``on_order`` is told of each order of a move.
@@ -53,13 +51,10 @@
         "services",
         "orders",
         "stewards",
-        "lease",
-        "lease_until",
-        "dirty",
+        "own",
         "revisions",
         "away",
         "asking",
-        "written",
         "scanned",
         "items",
         "reachable",
@@ -72,13 +67,9 @@
         self.services = services
         self.orders = {}
         self.stewards = {}
-        self.lease = 0
-        self.lease_until = 0.0
-        self.dirty = asyncio.Event()
         self.revisions = {}
         self.away = {}
         self.asking = {}
-        self.written = None
         self.scanned = asyncio.Event()
         self.items = {}
         self.reachable = asyncio.Event()
@@ -86,11 +77,20 @@
         self.scan_seconds = 0.0
         self.started = services.clock()
         self.ordered = asyncio.Event()
+        self.own = entry.OwnEntry(services, self.scanned, self.reachable)
 
     @property
-    def own_key(self):
-        """Return the key of this proxy's entry."""
-        return TARGETS_PREFIX + self.services.settings.proxy.address
+    def dirty(self):
+        """Return the event that tells of news of the local target."""
+        return self.own.dirty
+
+    async def keep_entry(self):
+        """Hold a lease and keep this proxy's entry current, for ever."""
+        await self.own.keep()
+
+    def entry(self):
+        """Return the entry that this proxy should have in the store, or ``None``."""
+        return self.own.wanted()
 
     async def follow(self, prefix, take):
         """Scan and watch a prefix for ever; ``take`` gets each item or removal.
@@ -314,10 +314,7 @@
         now = services.clock()
         if host == services.settings.proxy.address:
             if isinstance(change, vault.Removed):
-                if self.written is not None:
-                    services.log.event("own-entry-gone", revision=change.revision)
-                    self.written = None
-                    self.dirty.set()
+                self.own.gone(change.revision)
             elif services.hosting.belief.target is None:
                 services.hosting.restore(directory.decode(change.value))
             return
@@ -389,89 +386,3 @@
             revision=change.revision,
         )
         services.on_order(service)
-
-    async def keep_entry(self):
-        """Hold a lease and keep this proxy's entry current, for ever."""
-        await self.scanned.wait()
-        while True:
-            await self.reachable.wait()
-            pause = await self._keep_once()
-            self.dirty.clear()
-            if self.written != self.entry() and pause > 0 and not self._waiting():
-                continue
-            try:
-                async with asyncio.timeout(pause):
-                    await self.dirty.wait()
-            except TimeoutError:
-                continue
-
-    def _waiting(self):
-        return self.lease == 0 or self.services.clock() > self.lease_until
-
-    def entry(self):
-        """Return the entry that this proxy should have in the store, or ``None``."""
-        target = self.services.hosting.belief.target
-        if target is None:
-            return None
-        is_open = not self.services.hosting.stopping
-        return dataclasses.replace(target, sequence=0, open=is_open)
-
-    async def _keep_once(self):
-        """Renew or obtain the lease, write what changed; return when to look again."""
-        services = self.services
-        store = services.settings.store
-        retry = services.random.uniform(*RETRY_SECONDS)
-        now = services.clock()
-        if self.lease and now >= self.lease_until - store.lease_seconds * (
-            1 - 1 / RENEWALS
-        ):
-            renewed = await services.vault.renew(self.lease)
-            if isinstance(renewed, vault.Granted):
-                self.lease_until = now + renewed.seconds
-            elif isinstance(renewed, vault.LeaseEnded):
-                services.log.event("lease-ended", lease=self.lease)
-                self.lease, self.written = 0, None
-            else:
-                return retry
-        if not self.lease:
-            granted = await services.vault.grant(store.lease_seconds)
-            if not isinstance(granted, vault.Granted):
-                return retry
-            self.lease = granted.lease
-            self.lease_until = now + granted.seconds
-        entry = self.entry()
-        if entry is not None and entry != self.written:
-            if not await self._write(entry):
-                return retry
-            self.written = entry
-        return store.lease_seconds / RENEWALS
-
-    async def _write(self, entry):
-        services = self.services
-        target = services.hosting.belief.target
-        value = dataclasses.replace(target, open=entry.open)
-        puts = [vault.Put(self.own_key, value.encode(), self.lease)]
-        expected = {}
-        if entry.service not in services.bases.base:
-            # The first target of a service states the version traffic is at.
-            key = BASES_PREFIX + entry.service
-            expected = {key: 0}
-            puts.append(vault.Put(key, entry.version.encode()))
-        result = await services.vault.write(expected, puts)
-        if isinstance(result, vault.Conflict):
-            result = await services.vault.write({}, puts[:1])
-        if isinstance(result, vault.LeaseEnded):
-            self.lease = 0
-        if isinstance(result, vault.Written):
-            services.log.event(
-                "entry-written",
-                id=entry.id,
-                ready=entry.ready,
-                open=entry.open,
-                revision=result.revision,
-            )
-            item = vault.Item(self.own_key, puts[0].value, result.revision, self.lease)
-            services.tell(exchange.CATCH_UP_PATH, exchange.encode([item]))
-            return True
-        services.log.event("entry-not-written", result=str(result))
-        return False
--- a/tests/proxy/test_registry.py
+++ b/tests/proxy/test_registry.py
@@ -39,7 +39,7 @@
 
     async def test_entry_that_was_written_is_told_with_its_revision(self):
         services = Services()
-        self.assertTrue(await services.registry._write(ENTRY))
+        self.assertTrue(await services.registry.own.write(ENTRY))
         ((path, body),) = services.told
         self.assertEqual(path, exchange.CATCH_UP_PATH)
         (item,) = exchange.decode(body)
