Read a page to its end though it takes longer than the time-out

What callers would see: a proxy whose link needs more than 1 s for the configuration never gets it, not at its start and not after a change.

Cause: the time-out of a call bounded the whole answer. A page on its way was cut and asked for anew.

Evidence: test_answer_slower_than_the_time_out_is_read_in_the_end, a page that takes 1.4 s; before the change it was never read: "TimeoutError" after 10 s.

Change: a scan that got no whole page in time still reports the store as away, so everything else acts as before, but its call goes on beside the next one, and the first answer of both counts. An old answer cannot put back anything: revisions only rise.

--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -1,5 +1,6 @@
 """Reach the platform's store over HTTP as the product's ``Vault``."""
 
+import asyncio
 import base64
 import urllib.parse
 
@@ -9,25 +10,27 @@
 from lentilrouter.proxy import vault
 
 JSON_TYPE = [(b"content-type", b"application/json")]
+PAGE_SECONDS = 8.0  # beyond the time-out: a page of 1 MB on a link of 1 Mbit/s
 
 
 class PlatformVault(vault.Vault):
     """Translate the product's calls to the store; ``client`` sends them."""
 
-    __slots__ = ("client", "address", "timeout", "calls")
+    __slots__ = ("client", "address", "timeout", "calls", "slow")
 
     def __init__(self, client, address, timeout):
         self.client = client
         self.address = address
         self.timeout = timeout
         self.calls = 0
+        self.slow = {}
 
     async def scan(self, prefix):
         """Read all items below a prefix, page by page."""
         items, after, first_at = [], "", None
         while True:
             query = {"prefix": prefix, **({"after": after} if after else {})}
-            reply = await self._call("GET", "/v1/kv-range", query=query)
+            reply = await self._page(query)
             if reply.status != 200:
                 return vault.Away(reply.reason)
             page = reply.body
@@ -38,6 +41,32 @@
                 return vault.Scanned(items, first_at)
             after = page["items"][-1]["key"]
 
+    async def _page(self, query):
+        """Ask for a page; one that has not come in time is still read meanwhile.
+
+        Its link may be slow, or the store silent: only another call finds out which.
+        So the oldest call goes on beside the next, and the first answer of both counts.
+        """
+        place = urllib.parse.urlencode(query)
+        calls = [self.slow.pop(place)] if place in self.slow else []
+        if calls and calls[0].done() and calls[0].result().status == 200:
+            return calls[0].result()
+        page = self._call("GET", "/v1/kv-range", query, None, PAGE_SECONDS)
+        calls.append(asyncio.get_running_loop().create_task(page))
+        kept = None
+        try:
+            done, _ = await asyncio.wait(
+                calls, timeout=self.timeout, return_when=asyncio.FIRST_COMPLETED
+            )
+            if done:
+                return done.pop().result()
+            kept = self.slow[place] = calls[0]
+            return _Reply(0, None, "GET /v1/kv-range: no whole answer yet", False)
+        finally:
+            for call in calls:
+                if call is not kept:
+                    call.cancel()
+
     async def watch(self, prefix, after, seconds):
         """Wait for changes below a prefix that came after a revision."""
         query = {"prefix": prefix, "after": after, "wait_ms": int(seconds * 1000)}
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -104,3 +104,18 @@
             await asyncio.sleep(STEP_SECONDS)
             worst = max(worst, self.lateness())
         self.assertLess(worst, IN_FORCE_SECONDS)
+
+    # Guards against: a configuration that takes longer than one time-out on its way and
+    # is cut and asked for again for ever, though its bytes were coming (issue 13).
+    async def test_answer_slower_than_the_time_out_is_read_in_the_end(self):
+        await self.follow()
+        self.following.cancel()
+        self.change()
+        self.carry_in(self.services.settings.store.timeout_seconds * 1.4)
+        book = self.services.registry
+        self.following = asyncio.create_task(
+            book.follow(adapter.OPERATOR_PREFIX, book.take_operator)
+        )
+        async with asyncio.timeout(10.0):
+            while self.lateness():
+                await asyncio.sleep(STEP_SECONDS)
