Ask a watch again that waited through a silence of the store

Cause: nothing but the end of a watch, or the end of its connection, found out that its answer was lost.

Evidence: test_watch_that_waited_through_a_silence_is_asked_again; before the change the new version was not in force 4 s after the return: "TimeoutError".

Change: the renewals of the lease, each 2 s, tell when the store answers again after it did not; then each waiting watch is asked anew from where it was. Cost: a call for each watch and outage.

--- a/lentilrouter/proxy/entry.py
+++ b/lentilrouter/proxy/entry.py
@@ -16,23 +16,27 @@
     """Write what the local target is, and renew the lease that keeps it there.
 
     ``scanned`` is set once the proxies' keys are known, ``reachable`` while the store
-    answers.
+    answers; ``on_return`` is called when it answers again after it did not.
     """
 
     __slots__ = (
         "services",
         "scanned",
         "reachable",
+        "on_return",
+        "unheard",
         "lease",
         "lease_until",
         "dirty",
         "written",
     )
 
-    def __init__(self, services, scanned, reachable):
+    def __init__(self, services, scanned, reachable, on_return):
         self.services = services
         self.scanned = scanned
         self.reachable = reachable
+        self.on_return = on_return
+        self.unheard = False
         self.lease = 0
         self.lease_until = 0.0
         self.dirty = asyncio.Event()
@@ -85,7 +89,7 @@
         if self.lease and now >= self.lease_until - store.lease_seconds * (
             1 - 1 / RENEWALS
         ):
-            renewed = await services.vault.renew(self.lease)
+            renewed = self._heard(await services.vault.renew(self.lease))
             if isinstance(renewed, vault.Granted):
                 self.lease_until = now + renewed.seconds
             elif isinstance(renewed, vault.LeaseEnded):
@@ -94,7 +98,7 @@
             else:
                 return retry
         if not self.lease:
-            granted = await services.vault.grant(store.lease_seconds)
+            granted = self._heard(await services.vault.grant(store.lease_seconds))
             if not isinstance(granted, vault.Granted):
                 return retry
             self.lease = granted.lease
@@ -106,6 +110,15 @@
             self.written = entry
         return store.lease_seconds / RENEWALS
 
+    def _heard(self, result):
+        """Note whether the store answered, and pass its answer on."""
+        if isinstance(result, vault.Away):
+            self.unheard = True
+        elif self.unheard:
+            self.unheard = False
+            self.on_return()
+        return result
+
     async def write(self, entry):
         """Write the entry, and tell the other proxies; return whether it is there."""
         services = self.services
--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -59,6 +59,7 @@
         "items",
         "reachable",
         "scan_seconds",
+        "waiting",
         "started",
         "ordered",
     )
@@ -75,9 +76,12 @@
         self.reachable = asyncio.Event()
         self.reachable.set()
         self.scan_seconds = 0.0
+        self.waiting = {}
         self.started = services.clock()
         self.ordered = asyncio.Event()
-        self.own = entry.OwnEntry(services, self.scanned, self.reachable)
+        self.own = entry.OwnEntry(
+            services, self.scanned, self.reachable, self._watch_again
+        )
 
     @property
     def dirty(self):
@@ -130,9 +134,11 @@
         """Watch until a scan is due: no answer, no history, or a new sheet."""
         services = self.services
         while True:
-            seconds = services.settings.store.watch_seconds
             asked = services.clock()
-            result = await services.vault.watch(prefix, at, seconds)
+            result = await self._wait(prefix, at)
+            if result is None:
+                services.log.event("watch-again", prefix=prefix, after=at)
+                continue
             if isinstance(result, vault.Forgotten):
                 services.log.event("history-gone", prefix=prefix, after=at)
                 return
@@ -151,6 +157,24 @@
             if services.adapter.CONFIG_KEY in keys:
                 return
 
+    async def _wait(self, prefix, at):
+        """Watch once; return ``None`` if the answer may have been lost."""
+        seconds = self.services.settings.store.watch_seconds
+        try:
+            async with asyncio.timeout(None) as limit:
+                self.waiting[prefix] = limit
+                return await self.services.vault.watch(prefix, at, seconds)
+        except TimeoutError:
+            return None
+        finally:
+            self.waiting.pop(prefix, None)
+
+    def _watch_again(self):
+        """Ask anew what the watches wait for: a silent store may have lost answers."""
+        now = asyncio.get_running_loop().time()
+        for limit in self.waiting.values():
+            limit.reschedule(now)
+
     def _note_read(self, prefix, call, asked, changes):
         """Log an answer with what the operator wrote; ``seconds`` include the wait."""
         services = self.services
--- a/standins/vault.py
+++ b/standins/vault.py
@@ -17,7 +17,8 @@
 class VaultServer:
     """Serve items, watches, conditional writes and leases from memory.
 
-    ``fault`` is one of ``busy`` (503), ``many`` (429), ``silent`` (no answer) and
+    ``fault`` is one of ``busy`` (503), ``many`` (429), ``silent`` (no answer, and none
+    later to a watch that would have been answered meanwhile) and
     ``lost`` (writes are done and not answered), or empty. With ``refuses_writes`` only
     writes are answered 503. ``bytes_per_second`` is what the link to a proxy carries,
     one answer after the other; ``None`` for no limit.
@@ -97,6 +98,8 @@
     async def answer(self, request):
         """Answer one call, as fast as the link carries the answer."""
         reply = await self._answer(request)
+        if self.fault == "silent":
+            await asyncio.sleep(HANG_SECONDS)
         if self.bytes_per_second is not None:
             async with self.link:
                 await asyncio.sleep(len(reply.body) / self.bytes_per_second)
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -13,11 +13,12 @@
 from tests.proxy import doubles
 
 IN_FORCE_SECONDS = 2.0  # the shortest bound that the platform's sites set
+AFTER_SILENCE_SECONDS = 4.0  # the platform's bounds start 3 s after the store's return
 STEP_SECONDS = 0.05
 
 
 class Services:
-    """Hold what a registry needs to follow the operator's keys."""
+    """Hold what a registry needs to follow the operator's keys and to keep a lease."""
 
     def __init__(self, address):
         self.settings = doubles.settings()
@@ -28,6 +29,8 @@
         self.counters = counters.Counters()
         self.log = types.SimpleNamespace(event=self.note)
         self.lines = []
+        belief = types.SimpleNamespace(target=None)
+        self.hosting = types.SimpleNamespace(belief=belief, stopping=False)
         self.client = sending.Client()
         timeout = self.settings.store.timeout_seconds
         self.vault = store.PlatformVault(self.client, address, timeout)
@@ -42,8 +45,8 @@
         return self.holder.sheet.version if self.holder.sheet else 0
 
 
-class SlowLinkTests(unittest.IsolatedAsyncioTestCase):
-    """A whole configuration takes a third of a second or more to reach the proxy."""
+class FollowingCase(unittest.IsolatedAsyncioTestCase):
+    """Run a registry against the stand-in of the store."""
 
     async def asyncSetUp(self):
         self.store = vault.VaultServer()
@@ -89,6 +92,10 @@
             return 0.0
         return time.monotonic() - self.acknowledged[min(missing)]
 
+
+class SlowLinkTests(FollowingCase):
+    """A whole configuration takes a third of a second or more to reach the proxy."""
+
     # Guards against: a proxy that reads every version of a quick succession, falls
     # behind on a slow link and acts on an older one for seconds (issue 13, CONFIG).
     async def test_quick_succession_of_versions_is_in_force_in_time(self):
@@ -119,3 +126,25 @@
         async with asyncio.timeout(10.0):
             while self.lateness():
                 await asyncio.sleep(STEP_SECONDS)
+
+
+class SilentStoreTests(FollowingCase):
+    """The store takes calls and answers none, then is back."""
+
+    # Guards against: a watch whose answer was lost while the store was silent and that
+    # is waited for to its end, long after the store answers other calls (issue 13).
+    async def test_watch_that_waited_through_a_silence_is_asked_again(self):
+        await self.follow()
+        book = self.services.registry
+        book.scanned.set()
+        keeping = asyncio.create_task(book.keep_entry())
+        self.addCleanup(keeping.cancel)
+        await asyncio.sleep(0.5)
+        self.store.fault = "silent"
+        await asyncio.sleep(0.5)
+        self.change()
+        await asyncio.sleep(4.0)
+        self.store.fault = ""
+        async with asyncio.timeout(AFTER_SILENCE_SECONDS):
+            while self.lateness():
+                await asyncio.sleep(STEP_SECONDS)
