--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -1,4 +1,4 @@
-"""Keep this proxy's view of the store current, and its own entry there.
+"""Keep this proxy's view of the store current; ``entry`` keeps its own entry there.
 
 Two watches run: one on what the operator writes, one on what the proxies write. A view
 never goes back: revisions and versions only rise, and a store that is away changes
@@ -7,25 +7,25 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
-from lentilrouter.proxy import directory, exchange, moves, vault
+from lentilrouter.proxy import directory, entry, moves, vault
 
-OWN_PREFIX = "lentilrouter/"
-TARGETS_PREFIX = OWN_PREFIX + "targets/"
+OWN_PREFIX = entry.OWN_PREFIX
+TARGETS_PREFIX = entry.TARGETS_PREFIX
 MOVES_PREFIX = OWN_PREFIX + "moves/"
-BASES_PREFIX = OWN_PREFIX + "bases/"
+BASES_PREFIX = entry.BASES_PREFIX
 STEWARDS_PREFIX = OWN_PREFIX + "stewards/"
-# Between watches: changes in quick succession come in one answer, and each is a call to
-# the store. The operator's changes are due everywhere in 2 s, a slow store included. Of
-# its own news each proxy tells the others; only a steward lost while a move runs,
-# and proxies that started at the same time, must be seen in the store soon.
-OPERATOR_PAUSE_SECONDS = 0.8
+# Between reads: changes in quick succession come in one answer, and each is a call to
+# the store. The operator's changes are due everywhere in 2 s; that bounds the way of
+# two answers and the rest between them. Of its own news each proxy tells the others;
+# only a steward lost while a move runs, and proxies that started at the same time, must
+# be seen in the store soon.
+OPERATOR_PERIOD_SECONDS = 1.1  # from one scan to the next while changes come
+OPERATOR_PAUSE_SECONDS = 0.2  # at least, where a scan takes longer than the rest
 PAUSE_SECONDS = 3.0
 URGENT_PAUSE_SECONDS = 1.0
 STARTING_SECONDS = 6.0  # the time of a lease: then all that lived before is settled
-RETRY_SECONDS = (0.3, 0.9)  # random, so that proxies don't return to the store at once
-RENEWALS = 3  # renewals in the time of one lease
+RETRY_SECONDS = entry.RETRY_SECONDS
 QUESTIONS = 2  # in a row without an answer; one may be lost on the way
 ASK_AGAIN_SECONDS = 0.3
 STILL_THERE_SECONDS = 1.5  # between questions to a host that lives without an entry
@@ -41,7 +41,7 @@
 
 
 class Registry:
-    """Follow the store and write this proxy's entry.
+    """Follow the store; ``own`` writes this proxy's entry.
 
     ``services`` gives vault, adapter for values, holder, directory, bases, hosting,
     log, clock, random and settings; ``on_order`` is told of each order of a move.
@@ -51,16 +51,15 @@
         "services",
         "orders",
         "stewards",
-        "lease",
-        "lease_until",
-        "dirty",
+        "own",
         "revisions",
         "away",
         "asking",
-        "written",
         "scanned",
         "items",
         "reachable",
+        "scan_seconds",
+        "waiting",
         "started",
         "ordered",
     )
@@ -69,60 +68,132 @@
         self.services = services
         self.orders = {}
         self.stewards = {}
-        self.lease = 0
-        self.lease_until = 0.0
-        self.dirty = asyncio.Event()
         self.revisions = {}
         self.away = {}
         self.asking = {}
-        self.written = None
         self.scanned = asyncio.Event()
         self.items = {}
         self.reachable = asyncio.Event()
         self.reachable.set()
+        self.scan_seconds = 0.0
+        self.waiting = {}
         self.started = services.clock()
         self.ordered = asyncio.Event()
+        self.own = entry.OwnEntry(
+            services, self.scanned, self.reachable, self._watch_again
+        )
 
     @property
-    def own_key(self):
-        """Return the key of this proxy's entry."""
-        return TARGETS_PREFIX + self.services.settings.proxy.address
+    def dirty(self):
+        """Return the event that tells of news of the local target."""
+        return self.own.dirty
+
+    async def keep_entry(self):
+        """Hold a lease and keep this proxy's entry current, for ever."""
+        await self.own.keep()
+
+    def entry(self):
+        """Return the entry that this proxy should have in the store, or ``None``."""
+        return self.own.wanted()
 
     async def follow(self, prefix, take):
-        """Scan and watch a prefix for ever; ``take`` gets each item or removal."""
-        services = self.services
+        """Scan and watch a prefix for ever; ``take`` gets each item or removal.
+
+        A watch brings every version written since the last one, a scan only the newest.
+        So a new sheet is followed by scans until one brings no news.
+        """
+        first = True
         while True:
             if prefix == OWN_PREFIX:
                 # While the store is away only the other watch asks whether it is back.
                 await self.reachable.wait()
-            scanned = await services.vault.scan(prefix)
+            scanned = await self._scan(prefix)
             if isinstance(scanned, vault.Away):
                 self._lost(prefix, scanned.reason)
-                await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
+                await asyncio.sleep(self.services.random.uniform(*RETRY_SECONDS))
                 continue
             self._regained(prefix)
-            self._take_all(prefix, scanned, take)
-            at = scanned.at
-            while True:
-                seconds = services.settings.store.watch_seconds
-                result = await services.vault.watch(prefix, at, seconds)
-                if isinstance(result, vault.Forgotten):
-                    services.log.event("history-gone", prefix=prefix, after=at)
-                    break
-                if isinstance(result, vault.Away):
-                    self._lost(prefix, result.reason)
-                    await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
-                    break
-                for change in result.changes:
-                    self._take(change, take)
-                at = max(at, result.at)
-                if result.changes:
-                    await self._rest(prefix)
+            news = self._take_all(prefix, scanned, take)
+            if news and not first and prefix != OWN_PREFIX:
+                await self._rest(prefix)
+                continue
+            first = False
+            await self._watch(prefix, scanned.at, take)
+
+    async def _scan(self, prefix):
+        services = self.services
+        asked = services.clock()
+        scanned = await services.vault.scan(prefix)
+        if isinstance(scanned, vault.Scanned):
+            self._note_read(prefix, "scan", asked, scanned.items)
+            if prefix != OWN_PREFIX:
+                self.scan_seconds = services.clock() - asked
+        return scanned
+
+    async def _watch(self, prefix, at, take):
+        """Watch until a scan is due: no answer, no history, or a new sheet."""
+        services = self.services
+        while True:
+            asked = services.clock()
+            result = await self._wait(prefix, at)
+            if result is None:
+                services.log.event("watch-again", prefix=prefix, after=at)
+                continue
+            if isinstance(result, vault.Forgotten):
+                services.log.event("history-gone", prefix=prefix, after=at)
+                return
+            if isinstance(result, vault.Away):
+                self._lost(prefix, result.reason)
+                await asyncio.sleep(services.random.uniform(*RETRY_SECONDS))
+                return
+            self._note_read(prefix, "watch", asked, result.changes)
+            for change in result.changes:
+                self._take(change, take)
+            at = max(at, result.at)
+            if not result.changes:
+                continue
+            await self._rest(prefix)
+            keys = {change.key for change in result.changes}
+            if services.adapter.CONFIG_KEY in keys:
+                return
+
+    async def _wait(self, prefix, at):
+        """Watch once; return ``None`` if the answer may have been lost."""
+        seconds = self.services.settings.store.watch_seconds
+        try:
+            async with asyncio.timeout(None) as limit:
+                self.waiting[prefix] = limit
+                return await self.services.vault.watch(prefix, at, seconds)
+        except TimeoutError:
+            return None
+        finally:
+            self.waiting.pop(prefix, None)
+
+    def _watch_again(self):
+        """Ask anew what the watches wait for: a silent store may have lost answers."""
+        now = asyncio.get_running_loop().time()
+        for limit in self.waiting.values():
+            limit.reschedule(now)
+
+    def _note_read(self, prefix, call, asked, changes):
+        """Log an answer with what the operator wrote; ``seconds`` include the wait."""
+        services = self.services
+        if prefix != services.adapter.OPERATOR_PREFIX or not changes:
+            return
+        values = [change.value for change in changes if isinstance(change, vault.Item)]
+        services.log.event(
+            "operator-read",
+            call=call,
+            seconds=round(services.clock() - asked, 3),
+            changes=len(changes),
+            bytes=sum(len(value) for value in values),
+        )
 
     async def _rest(self, prefix):
-        """Wait before the next watch of a prefix; an order ends a long wait."""
+        """Wait before the next read of a prefix; an order ends a long wait."""
         if prefix != OWN_PREFIX:
-            await asyncio.sleep(OPERATOR_PAUSE_SECONDS)
+            left = OPERATOR_PERIOD_SECONDS - self.scan_seconds
+            await asyncio.sleep(max(left, OPERATOR_PAUSE_SECONDS))
             return
         if self.services.clock() - self.started < STARTING_SECONDS or self._moving():
             await asyncio.sleep(URGENT_PAUSE_SECONDS)
@@ -136,19 +207,23 @@
         return any(self.services.steward.concerns(order) for order in self.orders)
 
     def _take_all(self, prefix, scanned, take):
+        """Take in a scan; return whether it brought news."""
+        news = False
         present = {item.key for item in scanned.items}
         for key in [k for k in self.revisions if k.startswith(prefix)]:
             if key not in present and self.revisions[key] > 0:
-                self._take(vault.Removed(key, scanned.at), take)
+                news |= self._take(vault.Removed(key, scanned.at), take)
         for item in scanned.items:
-            self._take(item, take)
+            news |= self._take(item, take)
         if prefix == OWN_PREFIX:
             self.scanned.set()
+        return news
 
     def _take(self, change, take):
+        """Take in a change if it is news, and return whether it is."""
         known = abs(self.revisions.get(change.key, 0))
         if change.revision <= known:
-            return
+            return False
         removed = isinstance(change, vault.Removed)
         self.revisions[change.key] = -change.revision if removed else change.revision
         if removed:
@@ -156,6 +231,7 @@
         else:
             self.items[change.key] = change
         take(change)
+        return True
 
     def _lost(self, prefix, reason):
         if prefix not in self.away:
@@ -212,6 +288,7 @@
 
     def _take_sheet(self, change):
         services = self.services
+        began = services.clock()
         sheet = services.adapter.read_sheet(change.value)
         if isinstance(sheet, services.adapter.Unreadable):
             services.log.event(
@@ -231,6 +308,7 @@
             version=sheet.version,
             revision=change.revision,
             routes=len(sheet.routes),
+            parse_seconds=round(services.clock() - began, 4),
         )
 
     def take_own(self, change):
@@ -260,10 +338,7 @@
         now = services.clock()
         if host == services.settings.proxy.address:
             if isinstance(change, vault.Removed):
-                if self.written is not None:
-                    services.log.event("own-entry-gone", revision=change.revision)
-                    self.written = None
-                    self.dirty.set()
+                self.own.gone(change.revision)
             elif services.hosting.belief.target is None:
                 services.hosting.restore(directory.decode(change.value))
             return
@@ -335,89 +410,3 @@
             revision=change.revision,
         )
         services.on_order(service)
-
-    async def keep_entry(self):
-        """Hold a lease and keep this proxy's entry current, for ever."""
-        await self.scanned.wait()
-        while True:
-            await self.reachable.wait()
-            pause = await self._keep_once()
-            self.dirty.clear()
-            if self.written != self.entry() and pause > 0 and not self._waiting():
-                continue
-            try:
-                async with asyncio.timeout(pause):
-                    await self.dirty.wait()
-            except TimeoutError:
-                continue
-
-    def _waiting(self):
-        return self.lease == 0 or self.services.clock() > self.lease_until
-
-    def entry(self):
-        """Return the entry that this proxy should have in the store, or ``None``."""
-        target = self.services.hosting.belief.target
-        if target is None:
-            return None
-        is_open = not self.services.hosting.stopping
-        return dataclasses.replace(target, sequence=0, open=is_open)
-
-    async def _keep_once(self):
-        """Renew or obtain the lease, write what changed; return when to look again."""
-        services = self.services
-        store = services.settings.store
-        retry = services.random.uniform(*RETRY_SECONDS)
-        now = services.clock()
-        if self.lease and now >= self.lease_until - store.lease_seconds * (
-            1 - 1 / RENEWALS
-        ):
-            renewed = await services.vault.renew(self.lease)
-            if isinstance(renewed, vault.Granted):
-                self.lease_until = now + renewed.seconds
-            elif isinstance(renewed, vault.LeaseEnded):
-                services.log.event("lease-ended", lease=self.lease)
-                self.lease, self.written = 0, None
-            else:
-                return retry
-        if not self.lease:
-            granted = await services.vault.grant(store.lease_seconds)
-            if not isinstance(granted, vault.Granted):
-                return retry
-            self.lease = granted.lease
-            self.lease_until = now + granted.seconds
-        entry = self.entry()
-        if entry is not None and entry != self.written:
-            if not await self._write(entry):
-                return retry
-            self.written = entry
-        return store.lease_seconds / RENEWALS
-
-    async def _write(self, entry):
-        services = self.services
-        target = services.hosting.belief.target
-        value = dataclasses.replace(target, open=entry.open)
-        puts = [vault.Put(self.own_key, value.encode(), self.lease)]
-        expected = {}
-        if entry.service not in services.bases.base:
-            # The first target of a service states the version traffic is at.
-            key = BASES_PREFIX + entry.service
-            expected = {key: 0}
-            puts.append(vault.Put(key, entry.version.encode()))
-        result = await services.vault.write(expected, puts)
-        if isinstance(result, vault.Conflict):
-            result = await services.vault.write({}, puts[:1])
-        if isinstance(result, vault.LeaseEnded):
-            self.lease = 0
-        if isinstance(result, vault.Written):
-            services.log.event(
-                "entry-written",
-                id=entry.id,
-                ready=entry.ready,
-                open=entry.open,
-                revision=result.revision,
-            )
-            item = vault.Item(self.own_key, puts[0].value, result.revision, self.lease)
-            services.tell(exchange.CATCH_UP_PATH, exchange.encode([item]))
-            return True
-        services.log.event("entry-not-written", result=str(result))
-        return False
