Fuzz answers with a part that is repeated without end

Change: the fixed-seed fuzzer builds answers of valid and odd parts, of which the last one repeats for 256 KiB: each ends as broken, late, or small and whole; headers kept stay below a bound, and nothing counts as held after the exchange.

--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -15,6 +15,7 @@
 from lentilrouter.datapath import messages
 from lentilrouter.platform import beats, sheets
 from lentilrouter.proxy import (
+    answers,
     directory,
     exchange,
     hops,
@@ -182,11 +183,30 @@
         await asyncio.sleep(0)
         for piece in pieces:
             connection.data_received(piece)
-        return await exchange
+            assert len(connection.message.headers) <= answers.MAX_HEAD_BYTES / 4
+        outcome = await exchange
+        assert answers.HELD.used == 0
+        return outcome
 
     return asyncio.run(run())
 
 
+PARTS = [
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+    b"X-Request-Id: a\r\n",
+    b"X-Request-Id: b\r\n",
+    b"Content-Length: 3\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"X: y\r\n",
+    b"\r\n",
+    b"1\r\na\r\n",
+    b"0\r\n",
+    b"0" * 256,
+    b"a" * 256,
+]
+
+
 class AnswerTests(unittest.TestCase):
     """What a target may send."""
 
@@ -210,6 +230,22 @@
         if isinstance(outcome, messages.Replied):
             self.assertTrue(noise.lstrip(b"\r\n").startswith(b"HTTP/1."))
 
+    @PROFILE
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(PARTS), max_size=5),
+        strategies.sampled_from(PARTS),
+        PLACES,
+    )
+    def test_part_without_end_is_no_large_answer(self, parts, repeated, places):
+        start = b"".join(PARTS[:1] + parts)
+        piece = repeated * (4096 // len(repeated))
+        outcome = answer([*cut(start, places), *[piece] * 64])
+        if isinstance(outcome, messages.Replied):
+            # The first of the repeated bytes made the answer whole.
+            self.assertLessEqual(len(outcome.response.body), len(start) + 3)
+        else:
+            self.assertIsInstance(outcome, messages.Broken | messages.Late)
+
 
 JSON = strategies.recursive(
     strategies.none()
