Let answers leave whole before a stopping process ends

A caller that reads slowly got a part of its answer: 4.9 of 30 MB, then the connection ended.

Cause: a call counted as ended once its answer was handed to the transport. The process ended with the last call, and what waited in its write buffers was lost. The drain now also waits, no longer than to the end of the grace time, for bytes that have not left.

Test: test_answer_to_a_slow_reader_is_delivered_whole, before: `IncompleteReadError: 4919899 bytes read on a total of expected bytes`.

--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -34,6 +34,7 @@
 
 TICK_SECONDS = 0.25
 IDLE_POLL_SECONDS = 0.02
+LAST_BYTES_SECONDS = 0.1  # for the answers given as the process ends
 TARGET_UNHEARD_MS = 400  # the target is on the same host; finds silent connections
 TARGET_PATH = f"{hops.PATH_PREFIX}target"
 ASK_SECONDS = 0.4  # for one question to another proxy, a lost packet included
@@ -266,12 +267,12 @@
         self.callers.give_up(self._give_up)
         self.callers.close()
         self.peers.close()
-        await anyio.sleep(IDLE_POLL_SECONDS)  # in which the last bytes leave
+        await self._idle(max(end, services.clock() + LAST_BYTES_SECONDS))
 
     async def _idle(self, until):
-        """Wait until nothing is in flight, at the longest until a time."""
+        """Wait until all answers have left, at the longest until a time."""
         while self.services.clock() < until:
-            if not self.callers.active + self.peers.active:
+            if not self.callers.busy and not self.peers.busy:
                 return
             await anyio.sleep(IDLE_POLL_SECONDS)
 
--- a/lentilrouter/proxy/serving.py
+++ b/lentilrouter/proxy/serving.py
@@ -202,6 +202,11 @@
             self.closing = True
             self.transport.close()
 
+    @property
+    def unsent(self):
+        """Tell whether an answer has not left whole."""
+        return self.transport.get_write_buffer_size() > 0
+
     def give_up(self, answer):
         """Stop work on what has no answer yet, answer it by ``answer``, and close."""
         for entry in self.pending:
@@ -268,6 +273,11 @@
         self.loop = None
         self.listener = None
 
+    @property
+    def busy(self):
+        """Tell whether requests are under way, or answers not read by their callers."""
+        return self.active > 0 or any(each.unsent for each in self.connections)
+
     def ended(self, task):
         """Count a request as ended; a failure of the code itself must be seen."""
         self.active -= 1
