Ignore signals while a stopped process ends

A SIGTERM that came again as a proxy ended killed it: status -15 in place of 0, what was still to be done left undone.

Cause: the event loop gives its signals back to the system when it closes, before the process has ended. SIGTERM, SIGINT and SIGHUP are now ignored from the end of the drain on.

--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -212,6 +212,10 @@
             await self.stopping.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            # The loop would hand them back to the system, and one more kills.
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
         for each in self.servers:
             each.close()
         services.log.event("crossed", bytes=services.counters.crossed_by_route())
--- a/tests/proxy/test_stopping.py
+++ b/tests/proxy/test_stopping.py
@@ -174,3 +174,13 @@
         answer = await caller.answer()
         self.assertEqual(len(answer.body), 30_000_000 + len(b"answer to 1"))
         self.assertEqual(await asyncio.to_thread(self.machine.process.wait, 5), 0)
+
+    async def test_second_sigterm_at_the_end_changes_nothing(self):
+        # A SIGTERM that came while the process ended killed it (status -15).
+        await self.start()
+        await self.stop_and_wait(0)
+        process = self.machine.process
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.001)
+        self.assertEqual(process.returncode, 0)
