--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -22,6 +22,7 @@
 
 TICK_SECONDS = 0.25
 IDLE_POLL_SECONDS = 0.02
+LAST_BYTES_SECONDS = 0.1  # for the answers given as the process ends
 READY_OUT_SECONDS = 2.3  # two questions a second apart without a 200, and the way
 HAND_OVER_SECONDS = 0.8  # before that, other proxies hear that calls go elsewhere
 LAST_CALLS_SECONDS = 3.0  # after SIGTERM; a later call might not end in time
@@ -89,6 +90,10 @@
             await self.stopping.wait()
             await self._drain()
             tasks.cancel_scope.cancel()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            # The loop would hand them back to the system, and one more kills.
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
         for each in self.servers:
             each.close()
         services.log.event("crossed", bytes=services.counters.crossed_by_route())
@@ -144,12 +149,12 @@
         self.callers.give_up(self._give_up)
         self.callers.close()
         self.peers.close()
-        await anyio.sleep(IDLE_POLL_SECONDS)  # in which the last bytes leave
+        await self._idle(max(end, services.clock() + LAST_BYTES_SECONDS))
 
     async def _idle(self, until):
-        """Wait until nothing is in flight, at the longest until a time."""
+        """Wait until all answers have left, at the longest until a time."""
         while self.services.clock() < until:
-            if not self.callers.active + self.peers.active:
+            if not self.callers.busy and not self.peers.busy:
                 return
             await anyio.sleep(IDLE_POLL_SECONDS)
 
