--- a/tests/proxy/test_registry.py
+++ b/tests/proxy/test_registry.py
@@ -4,7 +4,15 @@
 import types
 import unittest
 
-from lentilrouter.proxy import directory, exchange, moves, registry, stewarding, vault
+from lentilrouter.proxy import (
+    directory,
+    exchange,
+    following,
+    moves,
+    registry,
+    stewarding,
+    vault,
+)
 from tests.proxy import doubles
 
 ENTRY = directory.Target("i", "ledger", "v1", "z1", "127.0.0.1", "p", 6, True, 1)
@@ -58,17 +66,17 @@
         self.slept = []
 
     async def rest(self, prefix=registry.OWN_PREFIX):
-        real, patched = asyncio.sleep, registry.asyncio.sleep
+        real, patched = asyncio.sleep, following.asyncio.sleep
 
         async def sleep(seconds):
             self.slept.append(seconds)
             await real(0)
 
-        registry.asyncio.sleep = sleep
+        following.asyncio.sleep = sleep
         try:
             await self.book._rest(prefix)
         finally:
-            registry.asyncio.sleep = patched
+            following.asyncio.sleep = patched
 
     async def test_rest_is_short_while_a_move_runs_and_after_a_start(self):
         self.book.orders["ledger"] = (moves.Order("ledger", "v2", 9.0), 5, 0.0)
