Never ask a refused caller to come back after 0 seconds

Callers saw: 503 with Retry-After 0.000 for a call refused at or after its deadline.

Cause: the pause is a share of the time left, and none was left.

--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -5,6 +5,7 @@
 from lentilrouter.proxy import carrying, offering, reaching, sheets
 
 RETRY_AFTER_SHARES = (0.1, 0.3)  # of the time left; callers wait up to a third of it
+RETRY_AFTER_LEAST_SECONDS = 0.01
 RETRY_AFTER_UNKNOWN_SECONDS = (0.05, 0.25)  # when no deadline is known
 SIZE_WEIGHT = 0.1  # of the newest answer in a route's usual size
 
@@ -133,7 +134,8 @@
             seconds = services.random.uniform(*RETRY_AFTER_UNKNOWN_SECONDS)
         else:
             left = max(0.0, call.deadline - services.clock())
-            seconds = left * services.random.uniform(*RETRY_AFTER_SHARES)
+            share = services.random.uniform(*RETRY_AFTER_SHARES)
+            seconds = max(RETRY_AFTER_LEAST_SECONDS, left * share)
         services.counters.refused(str(reason or "no sheet"))
         services.log.request(
             "refused",
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -164,8 +164,12 @@
         self.services.directory.put(target, 0.0)
         return peer
 
-    async def call(self, path="/read/1", method="GET"):
-        headers = [(b"host", b"a.example"), (b"x-request-id", b"c")]
+    async def call(self, path="/read/1", method="GET", deadline_ms=2000):
+        headers = [
+            (b"host", b"a.example"),
+            (b"x-request-id", b"c"),
+            (b"x-deadline-ms", b"%d" % deadline_ms),
+        ]
         request = serving.Incoming(method, path, headers)
         request.arrived = time.monotonic()
         request.source = "127.0.0.1"
@@ -248,6 +252,13 @@
         self.assertEqual(answer.status, 504)
         self.assertEqual(len(self.events("peer-lost")), 1)
 
+    async def test_refusal_at_the_deadline_never_asks_to_come_back_at_once(self):
+        # Retry-After was 0.000 then, and callers without pauses would come in a loop.
+        await self.add_peer()
+        answer = await self.call(deadline_ms=0)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.header(b"retry-after")), 0)
+
     async def test_line_of_an_unconfirmed_call_says_why_it_can_not_be_sent_again(self):
         # The allowance, the targets and the link could not be told apart as causes.
         await self.add_peer(mute=True)
