Cut a read into pieces only where it is larger than one

Change: framing.pieces returns a small read as it is, which nearly all are, instead of running a generator. No fault; the processor's price.

Tests: a doctest of the pieces; test_unbounded, test_fuzz and test_wire as before.

--- a/lentilrouter/datapath/framing.py
+++ b/lentilrouter/datapath/framing.py
@@ -46,9 +46,15 @@
 
 
 def pieces(data):
-    """Yield the bytes of one read in the pieces in which they are parsed."""
-    for start in range(0, len(data), PIECE_BYTES):
-        yield data[start : start + PIECE_BYTES]
+    """Return the bytes of one read in the pieces in which they are parsed.
+
+    >>> [len(piece) for piece in pieces(bytes(PIECE_BYTES + 1))]
+    [65536, 1]
+    """
+    if len(data) <= PIECE_BYTES:
+        return [data]
+    starts = range(0, len(data), PIECE_BYTES)
+    return [data[start : start + PIECE_BYTES] for start in starts]
 
 
 def encode_response(response, keep_alive, head_only=False):
