--- a/lentilrouter/proxy/offering.py
+++ b/lentilrouter/proxy/offering.py
@@ -4,7 +4,7 @@
 
 from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import hops, sending
+from lentilrouter.proxy import connections, hops
 
 HEARD_SECONDS = 0.3  # several round trips between domains, and one lost packet
 CONNECT_SECONDS = 0.25  # to another proxy; a cut-off host does not answer at all
@@ -142,7 +142,7 @@
             target.peer,
             request,
             left,
-            confirmation=sending.Confirmation(
+            confirmation=connections.Confirmation(
                 HEARD_SECONDS, services.counters.confirmed, on_late
             ),
             connect_seconds=CONNECT_SECONDS,
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -17,11 +17,11 @@
 from lentilrouter.proxy import (
     answers,
     belief,
+    connections,
     directory,
     exchange,
     hops,
     moves,
-    sending,
     serving,
 )
 from lentilrouter.proxy import sheets as product_sheets
@@ -177,7 +177,7 @@
     """Feed bytes to a connection as its answer; return the outcome."""
 
     async def run():
-        connection = sending.Connection()
+        connection = connections.Connection()
         connection.connection_made(doubles.Transport())
         exchange = asyncio.create_task(connection.exchange(b"", "GET", 0.01, id))
         await asyncio.sleep(0)
--- a/tests/proxy/test_unbounded.py
+++ b/tests/proxy/test_unbounded.py
@@ -7,7 +7,7 @@
 import unittest
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import answers, sending, serving, sheets
+from lentilrouter.proxy import answers, connections, serving, sheets
 from tests.proxy import doubles
 
 KIB = 1024
@@ -66,7 +66,7 @@
     """Send a request over a connection and feed what is to be its answer."""
 
     def __init__(self, method="GET", seconds=30.0):
-        self.connection = sending.Connection()
+        self.connection = connections.Connection()
         self.transport = doubles.Transport()
         self.connection.connection_made(self.transport)
         self.fed = 0
@@ -199,14 +199,14 @@
     # Guards against reading a body to the bound although its size was announced.
     async def test_announced_size_beyond_the_bound_ends_at_the_head(self):
         answer = Answer()
-        size = sending.MAX_RESPONSE_BYTES + 1
+        size = connections.MAX_RESPONSE_BYTES + 1
         await answer.feed(OK + b"Content-Length: %d\r\n\r\n" % size)
         self.assertTrue(answer.transport.closed)
         self.assertIsInstance(await answer.outcome(), messages.Broken)
 
     # Guards against refusing an announced size where no body follows.
     async def test_size_of_a_body_that_is_not_sent_is_not_judged(self):
-        data = OK + b"Content-Length: %d\r\n\r\n" % (sending.MAX_RESPONSE_BYTES + 1)
+        data = OK + b"Content-Length: %d\r\n\r\n" % (connections.MAX_RESPONSE_BYTES + 1)
         answer = Answer("HEAD")
         await answer.feed(data)
         self.assertIsInstance(await answer.outcome(), messages.Replied)
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -6,7 +6,7 @@
 import unittest
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import sending, serving, sheets
+from lentilrouter.proxy import connections, sending, serving, sheets
 from tests.proxy import doubles
 
 LIMITS = sheets.Limits(
@@ -242,13 +242,13 @@
             late.append(waited)
             return give_up
 
-        return sending.Confirmation(0.05, came.append, on_late)
+        return connections.Confirmation(0.05, came.append, on_late)
 
     async def test_silence_is_late_and_lack_of_confirmation_is_told_apart(self):
         self.script = [(b"", False), (b"", False)]
         self.assertIsInstance(await self.send(), messages.Late)
         result = await self.send(confirmation=self.confirmation(give_up=True))
-        self.assertIsInstance(result, sending.Unheard)
+        self.assertIsInstance(result, connections.Unheard)
 
     async def test_unconfirmed_request_is_kept_unless_it_is_to_be_given_up(self):
         # On a slow link confirmations came late, and calls at work were given up.
@@ -257,7 +257,7 @@
             self.script = [(self.answer(b"a", b"1"), False, 0.15)]
             confirmation = self.confirmation(late=late, give_up=give_up)
             result = await self.send(b"a", confirmation=confirmation)
-            kind = sending.Unheard if give_up else messages.Replied
+            kind = connections.Unheard if give_up else messages.Replied
             self.assertIsInstance(result, kind)
             self.assertEqual(len(late), 1)
             self.assertGreaterEqual(late[0], 0.05)
