Close connections of other proxies in good time before the end

Another proxy that had not heard of the stop, as with the store away, sent calls to a stopping proxy on kept connections to the last moment. One that crossed the end of the process counted as possibly run, and its caller got a 504 though nobody had read it.

Cause: answers to other proxies kept their connections until the process closed all.

Test: test_other_proxies_are_told_to_open_no_request_on_old_connections, before: `AssertionError: None != 'close'`.

--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -261,6 +261,9 @@
         # before the end, so that its slots are missing as briefly as possible.
         await anyio.sleep(max(0.0, out - HAND_OVER_SECONDS))
         services.hosting.stop()
+        # Who still sends here opens connections, and learns from a refused one that
+        # the process has ended; on a kept one a call would count as possibly run.
+        self.peers.draining = True
         await anyio.sleep(min(out, HAND_OVER_SECONDS))
         self.callers.listener.close()
         await self._idle(min(began + LAST_CALLS_SECONDS, end))
--- a/tests/proxy/test_stopping.py
+++ b/tests/proxy/test_stopping.py
@@ -184,3 +184,18 @@
             process.send_signal(signal.SIGTERM)
             await asyncio.sleep(0.001)
         self.assertEqual(process.returncode, 0)
+
+    async def test_other_proxies_are_told_to_open_no_request_on_old_connections(self):
+        # Other proxies kept connections to a stopping one: what they sent as it ended
+        # counted as possibly run.
+        await self.start(work=4.0)
+        caller = await self.caller()
+        caller.send("/read/1")
+        await asyncio.sleep(0.1)
+        peer = await Caller.connect(f"{self.machine.ip}:{self.mesh.peer_port}")
+        self.addCleanup(peer.writer.close)
+        await self.stop_and_wait(2.5)
+        peer.send("/lentilrouter/ping")
+        await peer.reader.readuntil(b"\r\n\r\n")  # that the request was heard
+        answer = await peer.answer()
+        self.assertEqual(answer.header(b"connection"), "close")
