--- a/tests/failures/soak/__main__.py
+++ b/tests/failures/soak/__main__.py
@@ -15,13 +15,14 @@
     running = world.World(seed)
     try:
         book = await running.run(seconds, hosts)
+        logged = running.logged()
     finally:
         running.close()
     statuses = collections.Counter(ask.status for ask in book.asks.values())
     print(f"requests {len(book.asks)}, by status {sorted(statuses.items())}")
     print(f"moves {sorted(running.done.items())}, faults {len(book.faults)}")
-    for fault in book.faults:
-        print(fault)
+    for line in [*book.faults, *logged]:
+        print(line)
     return book.faults
 
 
--- a/tests/failures/soak/callers.py
+++ b/tests/failures/soak/callers.py
@@ -28,6 +28,8 @@
         try:
             while not self.over:
                 await asyncio.sleep(self._pause())
+                if self.writer is not None and self.reader.at_eof():
+                    self._disconnect()  # closed meanwhile, and callers see that
                 if self.writer is None and not await self._connect():
                     await asyncio.sleep(PAUSE_SECONDS)
                     continue
--- a/tests/failures/soak/records.py
+++ b/tests/failures/soak/records.py
@@ -49,12 +49,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Records:
-    """Collect requests, runs and stops, and what was wrong with them."""
+    """Collect requests, runs and stops, and what was wrong with them.
+
+    ``blamed`` are the ids of the requests whose log lines tell more.
+    """
 
     asks: dict = dataclasses.field(default_factory=dict)
     runs: dict = dataclasses.field(default_factory=dict)
     stops: dict = dataclasses.field(default_factory=dict)
     faults: list = dataclasses.field(default_factory=list)
+    blamed: set = dataclasses.field(default_factory=set)
 
     def ended(self, ask):
         """Judge a request that has its end."""
@@ -83,6 +87,7 @@
             for run in self.runs.get(ask.id, ())
         ]
         term = f"{ask.sent - stops[-1]:.3f} s after SIGTERM" if stops else "no SIGTERM"
+        self.blamed.add(ask.id)
         self.faults.append(
             f"{words}: {ask.id} {ask.kind} at {ask.host}, sent {term}, status "
             f"{ask.status} after {ask.ended - ask.sent:.3f} of {ask.seconds:.3f} s, "
--- a/tests/failures/soak/world.py
+++ b/tests/failures/soak/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 import random
 import signal
 
@@ -15,6 +16,7 @@
 SERVICES = ("ledger", "depot")
 BEAT_SECONDS = 1.0
 POLL_SECONDS = 0.02
+LOG_SECONDS = 0.5  # until the proxies have written their lines
 SLOWEST_SECONDS = 0.22  # one way over a slow link; two ways stay below 0.6 s
 MOVES = ("stop", "stop", "stop several", "again", "reload", "change", "link", "link")
 
@@ -115,8 +117,17 @@
             caller.over = True
         await asyncio.wait(ends)
         self.book.close()
+        await asyncio.sleep(LOG_SECONDS)
         return self.book
 
+    def logged(self):
+        """Return what the proxies logged of the requests that went wrong."""
+        lines = [line for host in self.machines for line in host.lines()]
+        found = [
+            line for line in lines if json.loads(line).get("id") in self.book.blamed
+        ]
+        return sorted(found)  # each begins with its time
+
     def _caller(self, number, host):
         own = random.Random(f"{self.seed} {number}")
         return callers.Caller(number, host, self.book, own)
