Ask the proxies' watch again when a scan finds the store back

What callers would see: after a silence of the store a proxy knows nothing of new hosts and moves for up to 20 s, beyond what other proxies tell it.

Evidence: test_other_watch_is_asked_again_once_a_scan_finds_the_store_back, before: "TimeoutError" after 4 s. Change: a regained store asks the waiting watches again too. Both tests of a silent store pass.

--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -203,6 +203,8 @@
         if since is not None:
             seconds = round(self.services.clock() - since, 2)
             self.services.log.event("store-regained", prefix=prefix, seconds=seconds)
+            if prefix == self.services.adapter.OPERATOR_PREFIX:
+                self.watch_again()
 
     def snapshot(self):
         """Return every item known, for a proxy that cannot reach the store."""
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -8,7 +8,7 @@
 
 from lentilrouter.platform import sheets as adapter
 from lentilrouter.platform import store
-from lentilrouter.proxy import counters, registry, sending
+from lentilrouter.proxy import counters, moves, registry, sending
 from standins import vault
 from tests.proxy import doubles
 
@@ -26,6 +26,7 @@
         self.random = random.Random(7)
         self.adapter = adapter
         self.holder = registry.Holder()
+        self.bases = moves.Bases()
         self.counters = counters.Counters()
         self.log = types.SimpleNamespace(event=self.note)
         self.lines = []
@@ -148,3 +149,21 @@
         async with asyncio.timeout(AFTER_SILENCE_SECONDS):
             while self.lateness():
                 await asyncio.sleep(STEP_SECONDS)
+
+    # Guards against: the watch of the proxies' keys alone hangs, because the other read
+    # met the silence first and no renewal was sent in it (issue 13).
+    async def test_other_watch_is_asked_again_once_a_scan_finds_the_store_back(self):
+        await self.follow()
+        book = self.services.registry
+        own = asyncio.create_task(book.follow(registry.OWN_PREFIX, book.take_own))
+        self.addCleanup(own.cancel)
+        await asyncio.sleep(0.3)
+        self.change()
+        await asyncio.sleep(0.3)
+        self.store.fault = "silent"
+        self.store.put("lentilrouter/bases/ledger", b"v2")
+        await asyncio.sleep(3.0)
+        self.store.fault = ""
+        async with asyncio.timeout(AFTER_SILENCE_SECONDS):
+            while self.services.bases.base.get("ledger") != "v2":
+                await asyncio.sleep(STEP_SECONDS)
