End the wait of a watch only once

What callers would see: a proxy that ends (its task group fails) when a renewal and a scan find the store back in the same turn of the loop. Cause: a time limit that is expiring cannot be set again. Evidence: test_two_signs_of_the_return_end_a_wait_once, before: "RuntimeError: Cannot change state of expiring Timeout". Change: a wait that was ended is forgotten at once. test_following: 5 pass (17 s).

--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -131,7 +131,8 @@
     def watch_again(self):
         """Ask anew what the watches wait for: a silent store may have lost answers."""
         now = asyncio.get_running_loop().time()
-        for limit in self.waiting.values():
+        waiting, self.waiting = self.waiting, {}
+        for limit in waiting.values():
             limit.reschedule(now)
 
     def _note_read(self, prefix, call, asked, changes):
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -167,3 +167,20 @@
         async with asyncio.timeout(AFTER_SILENCE_SECONDS):
             while self.services.bases.base.get("ledger") != "v2":
                 await asyncio.sleep(STEP_SECONDS)
+
+    # Guards against: a proxy that ends because two signs of the store's return come in
+    # one turn of the loop, and the wait of a watch is ended twice.
+    async def test_two_signs_of_the_return_end_a_wait_once(self):
+        await self.follow()
+        book = self.services.registry
+        while not book.waiting:
+            await asyncio.sleep(STEP_SECONDS)
+        loop = asyncio.get_running_loop()
+        failures = []
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        book.watch_again()
+        loop.call_soon(book.watch_again)
+        loop.call_soon(loop.call_soon, book.watch_again)
+        await asyncio.sleep(0.5)
+        self.assertEqual(failures, [])
+        self.assertFalse(self.following.done())
