Give tests ports that no outgoing connection can take

Change: ports below that range, each once in a process, the start by process id; a port counts as free if nothing listens on it at any address.

--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -18,6 +18,11 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOSTS = itertools.count(2)
+# Below the ports that the system gives to outgoing connections, which could take one
+# before it is listened on; each test process starts elsewhere.
+PORT_RANGE = range(10_000, 32_000)
+FIRST_PORT = os.getpid() * 97 % len(PORT_RANGE)
+PORTS = itertools.cycle([*PORT_RANGE[FIRST_PORT:], *PORT_RANGE[:FIRST_PORT]])
 
 
 def settings(**proxy):
@@ -72,12 +77,17 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Return ports that nothing listens on, each only once in a process."""
+    return list(itertools.islice(filter(is_free, PORTS), count))
+
+
+def is_free(port):
+    """Tell whether nothing listens on a port, at any address."""
+    try:
+        socket.create_server(("", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 class Transport(asyncio.Transport):
