Give each test process loopback addresses of its own

Ports were found free on 127.0.0.1 and used on addresses that every test process shares. The second part of the address now comes from the process's id; the same two runs side by side start since.

--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -17,6 +17,8 @@
 from standins import target, vault
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Tests that run at the same time in several processes share no address.
+NETWORK = f"127.{2 + os.getpid() % 250}"
 HOSTS = itertools.count(2)
 
 
@@ -115,7 +117,7 @@
     target_kind = target.PlatformTarget
 
     def __init__(self, store, peer_port, service="ledger", **options):
-        self.ip = f"127.0.{next(HOSTS)}.1"
+        self.ip = f"{NETWORK}.{next(HOSTS)}.1"
         self.peer_port = peer_port
         ports = free_ports(5)
         self.callers, self.ready, self.heartbeats, app = (
