Count a target's slots in use with one copy of the code

proxy/gate.Gate and routing/admission.Gate decided alike which call may start: within the slots, and a suspect only by itself. That, and Admitted, stand once now in routing/slots.py; both gates build on it. How they order, estimate and refuse what waits differs in purpose and stays apart. The proxy's Ticket.alone is called suspect, as in the hop it comes from and in the other gate. Tests follow the names, with the same checks. No change of behaviour.

--- a/lentilrouter/proxy/gate.py
+++ b/lentilrouter/proxy/gate.py
@@ -12,6 +12,7 @@
 import dataclasses
 
 from lentilrouter.core import outcomes
+from lentilrouter.routing import slots
 
 MEAN_START_SECONDS = 0.05  # before anything was measured; replaced within a few calls
 MEAN_WEIGHT = 0.1
@@ -25,7 +26,7 @@
 
     ``patience`` is the longest expected wait that the call accepts, ``goal`` when its
     answer loses worth. ``on_turn`` is called with ``None`` when the call gets its slot,
-    or with a ``NotRun``.
+    or with a ``NotRun``. A call that is ``suspect`` runs alone.
     """
 
     kind: str
@@ -34,23 +35,18 @@
     patience: float
     goal: float = 0.0
     on_turn: object = None
-    alone: bool = False
+    suspect: bool = False
     started: float = 0.0
     queued: float = 0.0
     order: tuple = ()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Admitted:
-    """Report that the call holds a slot now."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Queued:
     """Report that the call waits; ``on_turn`` tells how that ends."""
 
 
-class Gate:
+class Gate(slots.Slots):
     """Count slots in use, order what waits and estimate waits.
 
     >>> gate = Gate(1)
@@ -61,11 +57,10 @@
     'overloaded'
     """
 
-    __slots__ = ("slots", "running", "queue", "means", "count", "closed")
+    __slots__ = ("queue", "means", "count", "closed")
 
     def __init__(self, slots):
-        self.slots = slots
-        self.running = set()
+        super().__init__(slots)
         self.queue = []
         self.means = {}
         self.count = 0
@@ -98,7 +93,7 @@
             return outcomes.NotRun(outcomes.Reason.DEADLINE, "before it was admitted")
         if not self.queue and self._fits(ticket):
             self._start(ticket, now)
-            return Admitted()
+            return slots.Admitted()
         self.count += 1
         ticket.order = (ticket.rank, ticket.goal, self.count)
         wait = self.expected_wait(ticket.order, now)
@@ -163,17 +158,6 @@
         for ticket in waiting:
             ticket.on_turn(outcomes.NotRun(reason, "target is leaving"))
 
-    def _fits(self, ticket):
-        if ticket.alone:
-            return not self.running
-        if len(self.running) >= self.slots:
-            return False
-        return not any(other.alone for other in self.running)
-
-    def _start(self, ticket, now):
-        ticket.started = now
-        self.running.add(ticket)
-
 
 def _overloaded(detail):
     return outcomes.NotRun(outcomes.Reason.OVERLOADED, detail)
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -7,6 +7,7 @@
 from lentilrouter.datapath import messages
 from lentilrouter.moves import evidence
 from lentilrouter.proxy import belief, gate, hops
+from lentilrouter.routing import slots
 
 CONNECT_SECONDS = 0.3  # same host; the target's queue of connections may be full
 REUSE_UNSAFE_SECONDS = 1.0  # a target may forget idle connections sooner than it says
@@ -170,7 +171,7 @@
             deadline=started + hop.left,
             patience=hop.patience,
             goal=started + hop.goal,
-            alone=hop.suspect,
+            suspect=hop.suspect,
         )
 
     async def _take_slot(self, own_gate, ticket):
@@ -185,7 +186,7 @@
         verdict = own_gate.offer(ticket, self.services.clock())
         if isinstance(verdict, outcomes.NotRun):
             return verdict
-        if isinstance(verdict, gate.Admitted):
+        if isinstance(verdict, slots.Admitted):
             return None
         try:
             return await waiting
--- a/lentilrouter/routing/admission.py
+++ b/lentilrouter/routing/admission.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from lentilrouter.core import outcomes
-from lentilrouter.routing import queueing
+from lentilrouter.routing import queueing, slots
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -23,11 +23,6 @@
     started: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Admitted:
-    """Report that the call holds a slot now."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Queued:
     """Report that the call waits; ``evicted`` is a ticket that lost its place."""
@@ -35,7 +30,7 @@
     evicted: Ticket | None = None
 
 
-class Gate:
+class Gate(slots.Slots):
     """Count the slots of one target and queue what exceeds them.
 
     The queue is bounded, and a call is only queued if its deadline leaves time for
@@ -44,22 +39,19 @@
     """
 
     __slots__ = (
-        "slots",
         "queue_limit",
         "order",
         "next_alone",
-        "running",
         "mean_seconds",
         "draining",
         "peak",
     )
 
     def __init__(self, slots, weights, settings):
-        self.slots = slots
+        super().__init__(slots)
         self.queue_limit = slots * settings.calls.queue_per_slot
         self.order = queueing.ORDERS.get(settings.calls.queue_order)(weights)
         self.next_alone = None
-        self.running = set()
         self.mean_seconds = 0.0
         self.draining = False
         self.peak = 0
@@ -71,7 +63,7 @@
             return refusal
         if self._fits(ticket) and not len(self.order) and self.next_alone is None:
             self._start(ticket, now)
-            return Admitted()
+            return slots.Admitted()
         evicted = None
         if len(self.order) >= self.queue_limit:
             evicted = self.order.evict(ticket, now)
@@ -125,15 +117,8 @@
             admitted.append(ticket)
         return admitted
 
-    def _fits(self, ticket):
-        if ticket.suspect:
-            return not self.running
-        alone = any(other.suspect for other in self.running)
-        return len(self.running) < self.slots and not alone
-
     def _start(self, ticket, now):
-        ticket.started = now
-        self.running.add(ticket)
+        super()._start(ticket, now)
         self.peak = max(self.peak, len(self.running))
 
 
--- a/tests/proxy/test_gate.py
+++ b/tests/proxy/test_gate.py
@@ -4,6 +4,7 @@
 
 from lentilrouter.core import outcomes
 from lentilrouter.proxy import gate
+from lentilrouter.routing import slots
 
 
 def ticket(rank=1, deadline=10.0, patience=1.0, **fields):
@@ -22,7 +23,7 @@
     def fill(self):
         running = [ticket()[0], ticket()[0]]
         for item in running:
-            self.assertEqual(self.gate.offer(item, 0.0), gate.Admitted())
+            self.assertEqual(self.gate.offer(item, 0.0), slots.Admitted())
         return running
 
     def test_never_more_than_the_slots(self):
@@ -91,7 +92,7 @@
     def test_suspect_runs_alone(self):
         first, _ = ticket()
         self.gate.offer(first, 0.0)
-        suspect, ended = ticket(alone=True)
+        suspect, ended = ticket(suspect=True)
         self.gate.offer(suspect, 0.0)
         self.assertEqual(ended, [])
         self.gate.release(first, 0.1)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from lentilrouter.core import outcomes
-from lentilrouter.routing import admission
+from lentilrouter.routing import admission, slots
 from tests import doubles
 
 PROFILE = hypothesis.settings(
@@ -95,7 +95,7 @@
             if rng.random() < rate:
                 offered[name] += 1
                 ticket = admission.Ticket(name, now + 1.0)
-                if isinstance(door.offer(ticket, now), admission.Admitted):
+                if isinstance(door.offer(ticket, now), slots.Admitted):
                     running[ticket] = now + 0.010
         for ticket in [t for t, end in running.items() if end <= now]:
             del running[ticket]
