Say in names what the steps around the local target do

A newcomer had to ask what these did: in proxy/hosting.py _follow, _note, _lost, _look_after and _hand_over are now _act_on, _note_evidence, _note_lost, _check_for_crash and _send_to_target; in proxy/belief.py silent and _set are now note_silent and _set_state.

--- a/lentilrouter/proxy/belief.py
+++ b/lentilrouter/proxy/belief.py
@@ -111,7 +111,7 @@
         if leave.born and leave.born < known.born:
             return Ignored(f"born {leave.born} is before {known.born}")
         changed = self.state is not State.GONE
-        self._set(State.GONE)
+        self._set_state(State.GONE)
         return Accepted(changed)
 
     def restore(self, target, now):
@@ -122,18 +122,18 @@
             self.heard = now
             self.warm_at = now
 
-    def silent(self):
+    def note_silent(self):
         """Note that the target does not answer; return whether that is news."""
         if self.state is not State.READY:
             return False
-        self._set(State.SILENT)
+        self._set_state(State.SILENT)
         return True
 
     def check(self, now):
         """Notice that heartbeats stopped; return whether that is news."""
         limit = SILENT_BEATS * self.settings.target.beat_seconds
-        return now - self.heard > limit and self.silent()
+        return now - self.heard > limit and self.note_silent()
 
-    def _set(self, state):
+    def _set_state(self, state):
         self.state = state
         self.target = dataclasses.replace(self.target, ready=state is State.READY)
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -46,28 +46,28 @@
         now = self.services.clock()
         before = self.belief.target
         result = self.belief.hear(beat, now)
-        self._follow(before, result, f"beat {beat.sequence}")
+        self._act_on(before, result, f"beat {beat.sequence}")
         return result
 
     def leave(self, leave):
         """Take in a target's leaving."""
         before = self.belief.target
         result = self.belief.leave(leave, self.services.clock())
-        self._follow(before, result, "leave")
+        self._act_on(before, result, "leave")
         return result
 
     def restore(self, target):
         """Believe an entry of this host's earlier process."""
         if self.belief.target is None:
             self.belief.restore(target, self.services.clock())
-            self._follow(None, belief.Accepted(True), "entry in the store")
+            self._act_on(None, belief.Accepted(True), "entry in the store")
 
     def check(self):
         """Notice a target that stopped to send heartbeats."""
         if self.belief.target is not None and self.belief.check(self.services.clock()):
-            self._follow(self.belief.target, belief.Accepted(True), "no heartbeats")
+            self._act_on(self.belief.target, belief.Accepted(True), "no heartbeats")
 
-    def _follow(self, before, result, cause):
+    def _act_on(self, before, result, cause):
         if isinstance(result, belief.Ignored):
             self.services.log.request("beat-ignored", "", reason=result.reason)
             return
@@ -130,7 +130,7 @@
                 return hops.Refused(refusal)
         outcome = None
         try:
-            outcome = await self._hand_over(hop, request, ticket)
+            outcome = await self._send_to_target(hop, request, ticket)
             return outcome
         finally:
             now = self.services.clock()
@@ -207,7 +207,7 @@
             return outcomes.NotRun(reasons.DRAINING, "version gets no calls")
         return None
 
-    async def _hand_over(self, hop, request, ticket):
+    async def _send_to_target(self, hop, request, ticket):
         services = self.services
         now = services.clock()
         left = ticket.deadline - now
@@ -238,8 +238,8 @@
         if isinstance(outcome, outcomes.Answered):
             services.crashes.cleared_call(request)
         elif isinstance(result, messages.Broken) and not result.started:
-            outcome = await self._look_after(outcome, request, target)
-        self._note(hop, target, outcome, ended)
+            outcome = await self._check_for_crash(outcome, request, target)
+        self._note_evidence(hop, target, outcome, ended)
         return outcome
 
     def _judge(self, result, target, seconds, id):
@@ -247,7 +247,7 @@
             return self._judge_answer(result.response, target, seconds, id)
         if isinstance(result, messages.NotSent):
             if self.belief.target is target:
-                self._lost(target, result.detail)
+                self._note_lost(target, result.detail)
             refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
             return hops.Refused(refusal)
         if isinstance(result, messages.Broken):
@@ -256,14 +256,14 @@
             return outcomes.Unknown(result.detail, target=target.id)
         return outcomes.Unknown(result.detail, late=True, target=target.id)
 
-    async def _look_after(self, outcome, request, target):
+    async def _check_for_crash(self, outcome, request, target):
         """Find out whether a target that broke a connection off has died."""
         services = self.services
         address = services.settings.target.address
         if await services.workers.listens(address, CONNECT_SECONDS):
             return outcome
         if self.belief.target is target:
-            self._lost(target, "died with calls in flight")
+            self._note_lost(target, "died with calls in flight")
         services.crashed(request, target)
         return dataclasses.replace(outcome, crashed=True)
 
@@ -271,7 +271,7 @@
         not_run = response.header(self.services.dialect.NOT_RUN) is not None
         if not_run or response.status == 421:
             if response.status == 421 and self.belief.target is target:
-                self._lost(target, "another target has the address")
+                self._note_lost(target, "another target has the address")
             reason = outcomes.Reason.OVERLOADED
             refusal = outcomes.NotRun(reason, f"target answered {response.status}")
             return hops.Refused(refusal, arrived=True)
@@ -282,11 +282,11 @@
         passed = messages.passed_on(response)
         return outcomes.Answered(passed, target.id, seconds)
 
-    def _lost(self, target, detail):
-        if self.belief.silent():
-            self._follow(target, belief.Accepted(True), detail)
+    def _note_lost(self, target, detail):
+        if self.belief.note_silent():
+            self._act_on(target, belief.Accepted(True), detail)
 
-    def _note(self, hop, target, outcome, now):
+    def _note_evidence(self, hop, target, outcome, now):
         if isinstance(outcome, hops.Refused) or now < self.belief.warm_at:
             return
         # An answer lost on its way tells of the connection, not of the version.
