Keep the slots of calls at work while a target's heartbeats are not heard

What callers and targets see: a node that stood still for over 2 s (or was starved) took its target for gone while calls ran there; at the next heartbeat it made a new gate, so that twice as many calls ran as the target has slots.

--- a/lentilrouter/datapath/hosting.py
+++ b/lentilrouter/datapath/hosting.py
@@ -30,18 +30,20 @@
     """Keep the local targets.
 
     ``services`` gives clock, table, quarantine, upstream client, view and metrics.
+    ``parted`` holds targets that are not heard any more while calls run there.
     """
 
     def __init__(self, services):
         self.services = services
         self.targets = {}
+        self.parted = {}
         self.duplicates = duplicates.Duplicates()
         self.draining = False
 
     def announce(self, target):
         """Take in a target's announcement or heartbeat."""
         now = self.services.clock.monotonic()
-        hosted = self.targets.get(target.id)
+        hosted = self.targets.get(target.id) or self._take_back(target.id)
         if hosted is None or hosted.target.slots != target.slots:
             settings = self.services.settings
             gate = admission.Gate(target.slots, self._weights(target), settings)
@@ -53,6 +55,14 @@
         hosted.heard = now
         hosted.gate.draining = target.draining or self.draining
 
+    def _take_back(self, id):
+        """Return a target that is heard again, with the slots that are in use."""
+        hosted = self.parted.pop(id, None)
+        if hosted is not None:
+            self.targets[id] = hosted
+            self._publish()
+        return hosted
+
     def _weights(self, target):
         service = self.services.view.sheet.services.get(target.service)
         return dict(service.class_weights) if service is not None else {}
@@ -88,9 +98,11 @@
             id for id, hosted in self.targets.items() if now - hosted.heard > limit
         ]
         for id in silent:
-            del self.targets[id]
+            self.parted[id] = self.targets.pop(id)
         if silent:
             self._publish()
+        for id in [id for id, hosted in self.parted.items() if not hosted.gate.running]:
+            del self.parted[id]
 
     def _publish(self):
         known = tuple(hosted.target for hosted in self.targets.values())
