Do not take this process's own pause for a silent host or target

What callers would see: after a pause of a proxy (a large configuration on a small share of a core, a stop) hosts that are well are passed over, offers refused, and a call with little time left closes the gate of its sound target: what waits there is refused and all proxies are told that it is silent. A full queue of connections at a target counted as a crash; three convict a call.

--- a/lentilrouter/datapath/messages.py
+++ b/lentilrouter/datapath/messages.py
@@ -61,9 +61,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NotSent:
-    """Report that no byte of the request left this process."""
+    """Report that no byte of the request left this process.
+
+    ``refused`` tells that the connection was, so that nothing listens there.
+    """
 
     detail: str
+    refused: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -234,7 +234,10 @@
             reuse_seconds=None if hop.safe else REUSE_UNSAFE_SECONDS,
         )
         ended = services.clock()
-        outcome = self._judge(result, target, ended - now, id)
+        if isinstance(result, messages.NotSent):
+            outcome = self._judge_not_sent(result, target, left)
+        else:
+            outcome = self._judge(result, target, ended - now, id)
         if isinstance(outcome, outcomes.Answered):
             services.crashes.cleared_call(request)
         elif isinstance(result, messages.Broken) and not result.started:
@@ -245,22 +248,28 @@
     def _judge(self, result, target, seconds, id):
         if isinstance(result, messages.Replied):
             return self._judge_answer(result.response, target, seconds, id)
-        if isinstance(result, messages.NotSent):
-            if self.belief.target is target:
-                self._note_lost(target, result.detail)
-            refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
-            return hops.Refused(refusal)
         if isinstance(result, messages.Broken):
             if result.started:
                 return outcomes.Failed(result.detail, target=target.id)
             return outcomes.Unknown(result.detail, target=target.id)
         return outcomes.Unknown(result.detail, late=True, target=target.id)
 
+    def _judge_not_sent(self, result, target, left):
+        """Refuse a call that could not be handed over within ``left`` seconds.
+
+        A connection that was not there in less than the usual time proves nothing.
+        """
+        proved = result.refused or left >= CONNECT_SECONDS
+        if proved and self.belief.target is target:
+            self._note_lost(target, result.detail)
+        refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
+        return hops.Refused(refusal)
+
     async def _check_for_crash(self, outcome, request, target):
         """Find out whether a target that broke a connection off has died."""
         services = self.services
         address = services.settings.target.address
-        if await services.workers.listens(address, CONNECT_SECONDS):
+        if not await services.workers.refuses(address, CONNECT_SECONDS):
             return outcome
         if self.belief.target is target:
             self._note_lost(target, "died with calls in flight")
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -8,6 +8,7 @@
 from lentilrouter.datapath import framing, messages
 from lentilrouter.proxy import connections
 
+SETTLE_SECONDS = 0.02  # for the loop to see what waits in its sockets
 KEEP_ALIVE_IDLE_SECONDS = 1  # finds a silent connection within about three seconds
 KEEP_ALIVE_PROBES = 2
 KEEP_ALIVE = (
@@ -68,13 +69,13 @@
         self._release(address, connection)
         return outcome
 
-    async def listens(self, address, seconds):
-        """Tell whether a new connection to an address can be made."""
+    async def refuses(self, address, seconds):
+        """Tell whether a new connection to an address is refused."""
         connection = await self._connect(address, seconds)
         if isinstance(connection, messages.NotSent):
-            return False
+            return connection.refused
         self._release(address, connection)
-        return True
+        return False
 
     def _reuse(self, address, reuse_seconds):
         pool = self.idle.get(address)
@@ -95,14 +96,20 @@
         loop = asyncio.get_running_loop()
         self.opened += 1
         try:
-            async with asyncio.timeout(seconds):
-                transport, protocol = await loop.create_connection(
-                    lambda: connections.Connection(self.idle_limit),
-                    host.strip("[]"),
-                    int(port),
-                )
+            async with asyncio.timeout(None) as limit:
+                timer = loop.call_later(seconds, _settle, limit)
+                try:
+                    transport, protocol = await loop.create_connection(
+                        lambda: connections.Connection(self.idle_limit),
+                        host.strip("[]"),
+                        int(port),
+                    )
+                finally:
+                    timer.cancel()
         except TimeoutError:
             return messages.NotSent(f"connect {address}: timed out")
+        except ConnectionRefusedError as error:
+            return messages.NotSent(f"connect {address}: {error}", refused=True)
         except OSError as error:
             return messages.NotSent(f"connect {address}: {error}")
         if self.silent_checks:
@@ -142,6 +149,11 @@
             self.drop(address)
 
 
+def _settle(limit):
+    """End a limit soon, but after what came while this process stood still."""
+    limit.reschedule(asyncio.get_running_loop().time() + SETTLE_SECONDS)
+
+
 def _set_options(transport, options):
     """Let the kernel find a connection that went silent without a reset."""
     sock = transport.get_extra_info("socket")
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import unittest
 
@@ -272,8 +273,40 @@
         )
         self.assertEqual((len(came), late), (1, []))
 
+    async def test_connection_made_while_this_process_stood_still_is_used(self):
+        # After a pause of this process its timers ran before it looked at the sockets:
+        # hosts that were well were taken for lost.
+        self.script = [(self.answer(b"a", b"1"), False)]
+        loop = asyncio.get_running_loop()
+        send = asyncio.ensure_future(self.send(b"a", connect_seconds=0.1))
+        await asyncio.sleep(0)
+        loop.call_soon(time.sleep, 0.3)
+        self.assertIsInstance(await send, messages.Replied)
+
+    async def test_connection_that_nobody_takes_times_out(self):
+        # The short extra wait for a process that stood still must end as well.
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        address = listener.getsockname()
+        fillers = []
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            fillers.append(filler)
+            self.addCleanup(filler.close)
+        request = messages.Request("GET", "/", [])
+        started = time.monotonic()
+        result = await self.client.send(
+            f"127.0.0.1:{address[1]}", request, 2.0, connect_seconds=0.1
+        )
+        self.assertIsInstance(result, messages.NotSent)
+        self.assertFalse(result.refused)
+        self.assertLess(time.monotonic() - started, 0.5)
+
     async def test_refused_connection_sent_nothing(self):
         (port,) = doubles.free_ports(1)
         request = messages.Request("GET", "/", [])
         result = await self.client.send(f"127.0.0.1:{port}", request, 0.5)
         self.assertIsInstance(result, messages.NotSent)
+        self.assertTrue(result.refused)
