--- a/tests/failures/soak/relay.py
+++ b/tests/failures/soak/relay.py
@@ -41,15 +41,16 @@
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self.passing.add(task)
+        far = writer
         try:
             near, far = await asyncio.open_connection(self.ip, self.peer_port)
             await asyncio.gather(self._pass(reader, far), self._pass(near, writer))
-            far.close()
         except (OSError, asyncio.CancelledError):
             # The proxy is gone or the run is over: the other side sees a reset.
             writer.transport.abort()
         finally:
             self.passing.discard(task)
+            far.close()
             writer.close()
 
     async def _pass(self, reader, writer):
