Go on without a pause where an answer takes longer than the time-out

A scan took more than 1 s, so the store counted as away for 0.88 s, its answer lay there, and a whole rest followed, as the scan counted 0.003 s.

Change: a page that has not come in time is asked for once more at once, beside the first call; only then the store counts as away. The time since the store seemed away counts towards the rest. After a watch the rest is 0.4 s, as nothing says how slow the link is now. A silent store is noticed by a scan after 2 s instead of 1 s.

--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -10,6 +10,7 @@
 from lentilrouter.proxy import vault
 
 JSON_TYPE = [(b"content-type", b"application/json")]
+PAGE_CALLS = 2  # at work on one page
 PAGE_SECONDS = 8.0  # beyond the time-out: a page of 1 MB on a link of 1 Mbit/s
 
 
@@ -42,24 +43,25 @@
             after = page["items"][-1]["key"]
 
     async def _page(self, query):
-        """Ask for a page; one that has not come in time is still read meanwhile.
+        """Ask for a page, and once more if it has not come in time.
 
         Its link may be slow, or the store silent: only another call finds out which.
-        So the oldest call goes on beside the next, and the first answer of both counts.
+        So the oldest call goes on beside the next, and the first answer of both counts;
+        it goes on even after this page was given up.
         """
         place = urllib.parse.urlencode(query)
         calls = [self.slow.pop(place)] if place in self.slow else []
         if calls and calls[0].done() and calls[0].result().status == 200:
             return calls[0].result()
-        page = self._call("GET", "/v1/kv-range", query, None, PAGE_SECONDS)
-        calls.append(asyncio.get_running_loop().create_task(page))
         kept = None
         try:
-            done, _ = await asyncio.wait(
-                calls, timeout=self.timeout, return_when=asyncio.FIRST_COMPLETED
-            )
-            if done:
-                return done.pop().result()
+            while len(calls) < PAGE_CALLS:
+                calls.append(self._start_page(query))
+                done, _ = await asyncio.wait(
+                    calls, timeout=self.timeout, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    return done.pop().result()
             kept = self.slow[place] = calls[0]
             return _Reply(0, None, "GET /v1/kv-range: no whole answer yet", False)
         finally:
@@ -67,6 +69,10 @@
                 if call is not kept:
                     call.cancel()
 
+    def _start_page(self, query):
+        page = self._call("GET", "/v1/kv-range", query, None, PAGE_SECONDS)
+        return asyncio.get_running_loop().create_task(page)
+
     async def watch(self, prefix, after, seconds):
         """Wait for changes below a prefix that came after a revision."""
         query = {"prefix": prefix, "after": after, "wait_ms": int(seconds * 1000)}
--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -16,6 +16,7 @@
 # only a steward lost while a move runs, and proxies that started at the same time, must
 # be seen in the store soon.
 OPERATOR_PERIOD_SECONDS = 1.1  # from one scan to the next while changes come
+OPERATOR_FIRST_PAUSE_SECONDS = 0.4  # after a watch: how slow the link is, is not known
 OPERATOR_PAUSE_SECONDS = 0.2  # at least, where a scan takes longer than the rest
 PAUSE_SECONDS = 3.0
 URGENT_PAUSE_SECONDS = 1.0
@@ -81,7 +82,8 @@
 
     async def _scan(self, prefix):
         services = self.services
-        asked = services.clock()
+        # An answer after the store seemed away was on its way since then.
+        asked = self.away.get(prefix, services.clock())
         scanned = await services.vault.scan(prefix)
         if isinstance(scanned, vault.Scanned):
             self._note_read(prefix, "scan", asked, scanned.items)
@@ -111,10 +113,11 @@
             at = max(at, result.at)
             if not result.changes:
                 continue
-            await self._rest(prefix)
             keys = {change.key for change in result.changes}
             if services.adapter.CONFIG_KEY in keys:
+                await asyncio.sleep(OPERATOR_FIRST_PAUSE_SECONDS)
                 return
+            await self._rest(prefix)
 
     async def _wait(self, prefix, at):
         """Watch once; return ``None`` if the answer may have been lost."""
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -8,7 +8,7 @@
 
 from lentilrouter.platform import sheets as adapter
 from lentilrouter.platform import store
-from lentilrouter.proxy import counters, moves, registry, sending
+from lentilrouter.proxy import counters, following, moves, registry, sending
 from standins import vault
 from tests.proxy import doubles
 
@@ -86,6 +86,19 @@
             while not self.services.held():
                 await asyncio.sleep(STEP_SECONDS)
 
+    async def worst_of_many_changes(self):
+        """Write versions in quick succession; return how late one was at most."""
+        worst = 0.0
+        for _ in range(24):
+            self.change()
+            for _ in range(3):
+                await asyncio.sleep(STEP_SECONDS)
+                worst = max(worst, self.lateness())
+        while self.lateness():
+            await asyncio.sleep(STEP_SECONDS)
+            worst = max(worst, self.lateness())
+        return worst
+
     def lateness(self):
         """Return for how long the oldest version not yet in force has been stored."""
         missing = [v for v in self.acknowledged if v > self.services.held()]
@@ -102,16 +115,16 @@
     async def test_quick_succession_of_versions_is_in_force_in_time(self):
         self.carry_in(0.33)
         await self.follow()
-        worst = 0.0
-        for _ in range(24):
-            self.change()
-            for _ in range(3):
-                await asyncio.sleep(STEP_SECONDS)
-                worst = max(worst, self.lateness())
-        while self.lateness():
-            await asyncio.sleep(STEP_SECONDS)
-            worst = max(worst, self.lateness())
-        self.assertLess(worst, IN_FORCE_SECONDS)
+        self.assertLess(await self.worst_of_many_changes(), IN_FORCE_SECONDS)
+
+    # Guards against: a pause after an answer that took longer than the time-out, as if
+    # the store were away, and a whole rest after it (issue 13; 2.4 s seen on a day).
+    async def test_answers_slower_than_the_time_out_follow_without_a_pause(self):
+        await self.follow()
+        seconds = self.services.settings.store.timeout_seconds * 1.2
+        self.carry_in(seconds)
+        worst = await self.worst_of_many_changes()
+        self.assertLess(worst, 2 * seconds + following.OPERATOR_PAUSE_SECONDS + 0.3)
 
     # Guards against: a configuration that takes longer than one time-out on its way and
     # is cut and asked for again for ever, though its bytes were coming (issue 13).
