Give up a call only on proof that its host alone is silent

- A call confirmed after 0.4 s was still watched and ended at 1.9 s (504 != 200).
A confirmation ends the watch.
- A host that left the directory counted as gone at once (504 != 200): entries also end while the store is away.
Now its questions decide.
- Payments were given up early too (504 != 200).
Callers do not repeat them after 504, so it only loses answers: what may not run twice waits for its answer or its deadline.
- Calls of one turn of the loop all chose one target (0 of 12 went to the other): since each send is a task, it was counted a turn late.
It is counted as it is chosen, also for the own host.
- A late call was considered for a second send once; with the allowance used up it then waited for its host's end.
- Silence of all hosts, or a question whose timer ran late, counted against one host (504 != 200 where all were silent).
Now it counts if others are heard, or one is asked and answers.
- A place that came late passed its host over for a second ('refused_until' beyond now); now only until the host answers.
- Hosts in doubt have a mark of their own; it no longer ends the pause after a refusal.

--- a/lentilrouter/core/outcomes.py
+++ b/lentilrouter/core/outcomes.py
@@ -16,6 +16,7 @@
     TOO_LARGE = "too large"
     CRASHES_TARGETS = "crashes targets"
     UNREACHABLE = "target unreachable"
+    UNCONFIRMED = "not confirmed in time"
     BAD_REQUEST = "bad request"
     DUPLICATE = "already running"
 
--- a/lentilrouter/proxy/balancing.py
+++ b/lentilrouter/proxy/balancing.py
@@ -30,6 +30,8 @@
     """Hold what this proxy saw of one target; times are monotonic seconds.
 
     ``heard_at`` is when it last ran a call, ``alive_at`` when its proxy last answered.
+    ``doubted`` tells that its proxy is being asked whether it is there, ``down`` that
+    it did not answer.
     """
 
     in_flight: int = 0
@@ -38,6 +40,7 @@
     seconds: float = 0.0
     failing: float = 0.0
     refused_until: float = 0.0
+    doubted: bool = False
     down: bool = False
     heard_at: float = 0.0
     alive_at: float = 0.0
@@ -94,12 +97,14 @@
             targets = [t for t in near if not self.view(t.host).down] or targets
         if not targets:
             return None
-        if local_load is not None and local_load < LOCAL_LOAD:
+        if local_load is not None:
             for target in targets:
-                if target.host == self.host and now >= warm_at.get(target.host, 0.0):
+                if target.host != self.host or now < warm_at.get(target.host, 0.0):
+                    continue
+                if self._exact_load(target, local_load) < LOCAL_LOAD:
                     return target
         up = [t for t in targets if not self.view(t.host).down]
-        fresh = [t for t in up if self.views[t.host].refused_until <= now]
+        fresh = [t for t in up if self._is_fresh(t, now)]
         candidates = fresh or up or targets
         if len(candidates) > CANDIDATES_MAX:
             candidates = self._sample(candidates)
@@ -112,6 +117,14 @@
             key=lambda t: self._score(t, warm_at, now, usual, local_load, crossing),
         )
 
+    def _exact_load(self, target, local_load):
+        """Return the own host's load, calls on their way to its target included."""
+        return max(local_load, self.view(target.host).in_flight / target.slots)
+
+    def _is_fresh(self, target, now):
+        view = self.views[target.host]
+        return not view.doubted and view.refused_until <= now
+
     def _sample(self, candidates):
         near = [t for t in candidates if t.domain == self.domain]
         far = [t for t in candidates if t.domain != self.domain]
@@ -130,7 +143,7 @@
             slots = max(1.0, slots / COLD_FACTOR)
         load = view.in_flight / slots
         if target.host == self.host and local_load is not None:
-            load = local_load
+            load = self._exact_load(target, local_load)
         elif now - view.reported_at < REPORT_SECONDS:
             load = max(load, view.reported * target.slots / slots)
         score = load + JITTER * self.random.random()
@@ -171,17 +184,28 @@
         """Note that a target had no room; pass it over for ``seconds``."""
         self.view(host).refused_until = now + seconds
 
+    def doubt(self, host):
+        """Pass a host over until it has answered a question."""
+        self.view(host).doubted = True
+
     def unreachable(self, host):
         """Pass a host over until it answers a question; return if that is news."""
         view = self.view(host)
         news, view.down = not view.down, True
         return news
 
+    def heard(self, host, now):
+        """Note that a host's proxy answered."""
+        self.view(host).alive_at = now
+
+    def last_heard(self):
+        """Return when any host's proxy answered last."""
+        return max((view.alive_at for view in self.views.values()), default=0.0)
+
     def reachable(self, host):
         """Take a host into account again."""
         view = self.view(host)
-        view.down = False
-        view.refused_until = 0.0
+        view.down = view.doubted = False
 
     def forget(self, known):
         """Drop views of hosts that are gone."""
--- a/lentilrouter/proxy/carrying.py
+++ b/lentilrouter/proxy/carrying.py
@@ -21,6 +21,7 @@
 OFFERS_MAX = 4  # proxies asked for one call before it is refused
 LEAST_SECONDS = 0.01  # with less than this left a call is not sent any more
 LEAVING_SECONDS = 1.0  # until the news of a leaving target is here
+RECONSIDER_SECONDS = 0.2  # the allowance may have grown, or another target be free
 DEADLINE_STATUS = 504
 
 
@@ -49,6 +50,12 @@
         self.late = False
         self.gone = False
 
+    def confirmed(self):
+        """Note that the target's proxy has the call, so that it is at work there."""
+        self.late = False
+        if self.watch is not None:
+            self.watch.cancel()
+
     def give_up(self):
         """End the send because its host is gone."""
         if not self.task.done():
@@ -170,9 +177,9 @@
 
     def _unless_at_work(self, call, step):
         """Return ``step``, or ``WAIT`` while another send is well on its way."""
-        if all(send.late for send in call.sends):
-            return step
-        return Step.WAIT
+        if any(send.task.done() or not send.late for send in call.sends):
+            return Step.WAIT
+        return step
 
     def _after_refusal(self, call, target, result):
         services = self.services
@@ -243,10 +250,15 @@
             self._late(call, send, waited, unsent)
             return False
 
-        offer = offering.Offer(target, last, on_late)
+        def on_end(task):
+            self.balancer.ended(target.host)
+            call.tell(send)
+
+        offer = offering.Offer(target, last, on_late, send.confirmed)
+        self.balancer.sent(target.host)
         loop = asyncio.get_running_loop()
         send.task = loop.create_task(self.offering.offer(call, offer))
-        send.task.add_done_callback(lambda task: call.tell(send))
+        send.task.add_done_callback(on_end)
         call.sends.add(send)
         return True
 
@@ -275,15 +287,28 @@
         return self.balancer.open_to(candidates, call.tried, now, urgent)
 
     def _late(self, call, send, waited, unsent):
-        """Note that a confirmation is late, and find out whether the host is there."""
+        """Note that a confirmation is late, and find out whether the host is there.
+
+        Callers do not repeat what may not run twice, so ending it early helps nobody.
+        """
         send.late = True
         self._log_late(call, send, waited, unsent)
+        self.reach.doubt(send.target)
+        if call.route.safe:
+            loop = asyncio.get_running_loop()
+            send.watch = loop.create_task(self._watch(call, send))
+            call.tell(send)
+
+    async def _watch(self, call, send):
+        """End a send once its host is gone; see meanwhile whether to send again."""
         loop = asyncio.get_running_loop()
-        send.watch = loop.create_task(self._end_when_gone(send))
-        call.tell(send)
-
-    async def _end_when_gone(self, send):
-        await self.reach.until_gone(send.target)
+        gone = loop.create_task(self.reach.until_gone(send.target))
+        try:
+            while not gone.done():
+                await asyncio.wait([gone], timeout=RECONSIDER_SECONDS)
+                call.tell(send)
+        finally:
+            gone.cancel()
         send.give_up()
 
     def _log_late(self, call, send, waited, unsent):
--- a/lentilrouter/proxy/connections.py
+++ b/lentilrouter/proxy/connections.py
@@ -226,11 +226,11 @@
         self.unframed = False
         future = self.future = loop.create_future()
         late = messages.Late("no answer in time")
+        self.sent_at = time.monotonic()
         timers = [loop.call_later(max(0.0, seconds), self._finish, late)]
         self.confirmation = confirmation
         if confirmation is not None:
             timers.append(loop.call_later(confirmation.seconds, self._unconfirmed))
-        self.sent_at = time.monotonic()
         self.transport.write(data)
         try:
             return await future
--- a/lentilrouter/proxy/offering.py
+++ b/lentilrouter/proxy/offering.py
@@ -23,12 +23,14 @@
     """Say to which target a call is offered, and whether no other is left.
 
     ``on_late`` is called if the target's proxy does not confirm the call in time; it
-    gets the seconds waited and the bytes not yet sent.
+    gets the seconds waited and the bytes not yet sent. ``on_confirmed`` is called when
+    it does, late or not.
     """
 
     target: object
     last: bool
     on_late: object
+    on_confirmed: object
 
 
 class Offering:
@@ -51,13 +53,9 @@
         now = services.clock()
         hop = self._hop(call, offer, now)
         passed = self._passed_on(call.request)
-        self.balancer.sent(target.host)
-        try:
-            if target.host == services.settings.proxy.address:
-                return await services.hosting.run(hop, passed, now)
-            return await self._send(call, offer, hop, passed)
-        finally:
-            self.balancer.ended(target.host)
+        if target.host == services.settings.proxy.address:
+            return await services.hosting.run(hop, passed, now)
+        return await self._send(call, offer, hop, passed)
 
     def _hop(self, call, offer, now):
         route, target = call.route, offer.target
@@ -99,7 +97,13 @@
         request = messages.Request(
             passed.method, passed.target, [*passed.headers, header], passed.body
         )
-        return await self._exchange(call, offer.target, request, offer.on_late)
+
+        def came(seconds):
+            self.services.counters.confirmed(seconds)
+            offer.on_confirmed()
+
+        confirmation = connections.Confirmation(HEARD_SECONDS, came, offer.on_late)
+        return await self._exchange(call, offer.target, request, confirmation)
 
     def _place_first(self, call, target):
         """Tell whether to ask for a slot before the call itself is sent.
@@ -125,26 +129,27 @@
 
         headers = [(b"host", b"peer"), (hops.HEADER, hop.encode())]
         question = messages.Request("POST", hops.PLACE_PATH, headers)
-        placed = await self._exchange(call, target, question, give_up)
+        confirmation = connections.Confirmation(
+            HEARD_SECONDS, self.services.counters.confirmed, give_up
+        )
+        placed = await self._exchange(call, target, question, confirmation)
         if isinstance(placed, hops.Placed):
             hop.place = placed.token
             hop.left = call.deadline - self.services.clock()
             return None
         if isinstance(placed, outcomes.Unknown):
-            refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, placed.detail)
+            refusal = outcomes.NotRun(outcomes.Reason.UNCONFIRMED, placed.detail)
             return hops.Refused(refusal)
         return placed
 
-    async def _exchange(self, call, target, request, on_late):
+    async def _exchange(self, call, target, request, confirmation):
         services = self.services
         left = call.deadline - services.clock() + CLOSE_MARGIN_SECONDS
         result = await services.peers.send(
             target.peer,
             request,
             left,
-            confirmation=connections.Confirmation(
-                HEARD_SECONDS, services.counters.confirmed, on_late
-            ),
+            confirmation=confirmation,
             connect_seconds=CONNECT_SECONDS,
         )
         if target.domain != self.balancer.domain:
--- a/lentilrouter/proxy/reaching.py
+++ b/lentilrouter/proxy/reaching.py
@@ -1,8 +1,8 @@
 """Find out which hosts are there, by questions to their proxies.
 
 A confirmation that is late says little: links may be slow and proxies busy. Only a
-host that leaves several questions unanswered counts as gone, and only then is a call
-that was handed to it given up.
+host that leaves several questions unanswered, while others are heard, counts as gone,
+and only then is a call that was handed to it given up.
 """
 
 import asyncio
@@ -12,6 +12,7 @@
 
 QUESTION_SECONDS = 0.6  # for one answer; a lost packet is sent again within that time
 ASK_AGAIN_SECONDS = 0.4
+OVERRUN_SECONDS = 0.1  # a timer later than this tells of this process, not the host
 QUESTIONS = 2  # in a row without an answer; the first may go over a dead connection
 PING = messages.Request("GET", f"{hops.PATH_PREFIX}ping", [(b"host", b"peer")])
 
@@ -39,7 +40,7 @@
 class Reach:
     """Ask hosts that are in doubt, and pass them over meanwhile.
 
-    ``services`` gives the peers' client, directory, log, clock and ``teach``.
+    ``services`` gives the peers' client, directory, settings, log, clock and ``teach``.
     """
 
     __slots__ = ("services", "balancer", "doubts")
@@ -53,8 +54,7 @@
         """Ask a target's host until it answers; return the ``Doubt``."""
         doubt = self.doubts.get(target.host)
         if doubt is None:
-            now = self.services.clock()
-            self.balancer.refused(target.host, now, QUESTION_SECONDS)
+            self.balancer.doubt(target.host)
             doubt = self.doubts[target.host] = Doubt()
             loop = asyncio.get_running_loop()
             doubt.task = loop.create_task(self._ask_until_settled(target, doubt))
@@ -74,21 +74,46 @@
 
     async def _ask_until_settled(self, target, doubt):
         try:
-            while target.host in self.services.directory.by_host:
-                result = await self.services.peers.send(
-                    target.peer, PING, QUESTION_SECONDS
-                )
+            while doubt.missed < QUESTIONS or self._is_known(target):
+                asked = self.services.clock()
+                result = await self._ask(target)
                 if isinstance(result, messages.Replied):
                     doubt.settle(gone=False)
                     await self._regained(target, result.response)
                     return
-                self._missed(target, doubt, result.detail)
+                if await self._tells_of_host(target, result, asked):
+                    self._missed(target, doubt, result.detail)
                 await asyncio.sleep(ASK_AGAIN_SECONDS)
         finally:
-            doubt.settle(gone=True)
+            doubt.settle(gone=False)
             del self.doubts[target.host]
             self.balancer.reachable(target.host)
 
+    async def _ask(self, target):
+        return await self.services.peers.send(target.peer, PING, QUESTION_SECONDS)
+
+    async def _tells_of_host(self, target, result, asked):
+        """Tell whether a missing answer speaks of the host, not of this side.
+
+        It does not if this process stood still, or nobody else answers it either.
+        """
+        if isinstance(result, messages.NotSent) and result.refused:
+            return True
+        if self.services.clock() - asked > QUESTION_SECONDS + OVERRUN_SECONDS:
+            return False
+        if self.balancer.last_heard() >= asked:
+            return True
+        own = self.services.settings.proxy.address
+        known = self.services.directory.by_host.values()
+        others = [t for t in known if t.host not in (own, target.host)]
+        sound = [t for t in others if t.host not in self.doubts]
+        if not sound:
+            return not others
+        return isinstance(await self._ask(sound[0]), messages.Replied)
+
+    def _is_known(self, target):
+        return target.host in self.services.directory.by_host
+
     def _missed(self, target, doubt, detail):
         doubt.missed += 1
         self.lost(target, f"no answer to a question: {detail}")
@@ -97,6 +122,7 @@
             doubt.settle(gone=True)
 
     async def _regained(self, target, answer):
+        self.balancer.heard(target.host, self.services.clock())
         if self.balancer.view(target.host).down:
             self.services.log.event("peer-regained", host=target.host)
         await self.services.teach(target.peer, answer)
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -36,14 +36,14 @@
     """Stand in for a target's proxy that confirms and answers after some time.
 
     ``refuses`` makes it refuse calls, ``shed`` makes its target reject them, ``mute``
-    keep silent for good. ``began`` counts
-    calls that reached its target, ``broken_off`` those whose sender left before the
-    answer.
+    keep silent for good. ``began`` counts calls that reached its target, ``broken_off``
+    those whose sender left before the answer.
     """
 
     def __init__(self, address):
         self.address = address
         self.confirm_seconds = 0.0
+        self.place_seconds = 0.0
         self.work_seconds = 0.2
         self.answer_seconds = 0.0
         self.refuses = False
@@ -86,6 +86,7 @@
             writer.write(framing.encode_response(messages.Response(200, [], b""), True))
             return
         if hops.PLACE_PATH.encode() in head:
+            await asyncio.sleep(self.place_seconds)
             writer.write(self.encode(hops.Placed("t")))
             return
         if self.refuses or self.shed:
@@ -122,7 +123,8 @@
     def make_services(self):
         routes = [
             doubles.route(timeout_s=2.0),
-            doubles.route("/pay/", "unsafe", timeout_s=2.0),
+            doubles.route("/slow/", timeout_s=6.0),
+            doubles.route("/pay/", "unsafe", timeout_s=6.0),
         ]
         holder = registry.Holder()
         holder.sheet = platform_sheets.read_sheet(doubles.config(7, *routes))
@@ -185,6 +187,7 @@
             await self.add_peer(confirm_seconds=LATE_SECONDS)
         answers = await asyncio.gather(*(self.call() for _ in range(5)))
         self.assertEqual([answer.status for answer in answers], [200] * 5)
+        self.assertLessEqual(sum(peer.began for peer in self.peers), 5 + 1)
 
     async def test_safe_call_at_work_is_kept_where_no_other_target_is_known(self):
         # LOST: the call was given up to be sent to another target, but none was left.
@@ -243,14 +246,123 @@
         self.assertEqual(answer.status, 200)
         self.assertEqual((peer.began, peer.broken_off), (1, 0))
 
-    async def test_call_to_a_host_that_is_gone_gets_its_final_answer(self):
+    async def test_safe_call_to_a_host_that_is_gone_gets_its_final_answer(self):
         # A call that nobody works on any more must not be held until its deadline.
-        peer = await self.add_peer()
-        self.assertEqual((await self.call("/pay/1", "POST")).status, 200)
-        peer.mute = True
-        answer = await self.call("/pay/2", "POST")
+        await self.add_peer(mute=True)
+        started = time.monotonic()
+        answer = await self.call("/slow/1", deadline_ms=6000)
         self.assertEqual(answer.status, 504)
+        self.assertLess(time.monotonic() - started, 2.5)
         self.assertEqual(len(self.events("peer-lost")), 1)
+        self.assertEqual(len(self.events("peer-gone")), 1)
+        (failed,) = self.events("failed")
+        self.assertIn(b"the host does not answer at all", failed)
+
+    async def test_silence_of_all_hosts_does_not_end_a_call_at_work(self):
+        # If nobody is heard, the own link or process is at fault, not one host.
+        for _ in range(2):
+            await self.add_peer(confirm_seconds=2.2, answer_seconds=9.0)
+        answer = await self.call("/slow/1", deadline_ms=6000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.events("peer-gone"), [])
+
+    async def test_late_place_for_a_payment_does_not_pass_over_its_host_for_long(self):
+        # A host that was slow once got no calls for a second, answers or not.
+        peer = await self.add_peer(place_seconds=LATE_SECONDS)
+        self.assertEqual((await self.call("/pay/1", "POST")).status, 503)
+        self.assertEqual(peer.began, 0)
+        await asyncio.sleep(0.1)
+        view = self.forwarder.balancer.view(peer.address)
+        self.assertFalse(view.doubted)
+        self.assertLessEqual(view.refused_until, time.monotonic())
+
+    async def test_one_unanswered_question_does_not_end_a_call_at_work(self):
+        # The first question may go over a dead connection, or be lost on a slow link.
+        peer = await self.add_peer(confirm_seconds=1.2, answer_seconds=0.7)
+        answer = await self.call("/slow/1", deadline_ms=6000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off), (1, 0))
+
+    async def test_call_that_was_confirmed_late_is_not_asked_after_any_more(self):
+        # A call at work, confirmed after 0.4 s, was ended at 1.9 s: its host was busy.
+        peer = await self.add_peer(
+            confirm_seconds=LATE_SECONDS, work_seconds=2.5, answer_seconds=9.0
+        )
+        answer = await self.call("/slow/1", deadline_ms=6000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off), (1, 0))
+
+    async def test_call_is_kept_although_its_host_leaves_the_directory(self):
+        # An entry may end while the store is away; the host and its target live on.
+        peer = await self.add_peer(confirm_seconds=LATE_SECONDS, work_seconds=1.0)
+        call = asyncio.ensure_future(self.call("/slow/1", deadline_ms=6000))
+        await asyncio.sleep(LATE_SECONDS)
+        self.services.directory.remove(peer.address)
+        self.assertEqual((await call).status, 200)
+
+    async def test_payment_is_kept_whatever_becomes_of_its_host(self):
+        # Callers do not repeat a payment after 504: an early end only loses its answer.
+        peer = await self.add_peer(confirm_seconds=1.5, answer_seconds=9.0)
+        spare = await self.add_peer()
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        peer.work_seconds = 1.0
+        answer = await self.call("/pay/1", "POST", deadline_ms=6000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off, spare.began), (1, 0, 0))
+
+    async def test_late_call_is_sent_again_once_the_allowance_has_grown(self):
+        # Whether a late call may be sent again was asked once, as it became late.
+        await self.add_peer(mute=True)
+        fast = await self.add_peer(work_seconds=0.05)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        allowance = self.forwarder.budget
+        allowance.spend("ledger", 2)
+        started = time.monotonic()
+        call = asyncio.ensure_future(self.call())
+        await asyncio.sleep(LATE_SECONDS)
+        self.assertEqual(fast.began, 0)
+        allowance.tokens["ledger"] = 1.0
+        self.assertEqual((await call).status, 200)
+        self.assertEqual(fast.began, 1)
+        self.assertLess(time.monotonic() - started, 1.0)
+
+    async def test_second_send_is_within_attempts_and_taken_from_the_allowance(self):
+        # A send beside one at work is a repeat like any other.
+        for _ in range(4):
+            await self.add_peer(confirm_seconds=LATE_SECONDS * 2, work_seconds=0.3)
+        self.forwarder.budget.tokens["ledger"] = 9.0
+        self.forwarder.budget.extra = 100.0
+        self.assertEqual((await self.call()).status, 200)
+        self.assertEqual(sum(peer.began for peer in self.peers), 2)
+        self.assertLess(self.forwarder.budget.tokens["ledger"], 9.0)
+
+    async def test_sends_of_a_caller_that_left_are_ended(self):
+        # Two sends at work must both end within half a second of the caller's leaving.
+        for _ in range(2):
+            await self.add_peer(confirm_seconds=LATE_SECONDS, work_seconds=3.0)
+        call = asyncio.ensure_future(self.call())
+        await asyncio.sleep(LATE_SECONDS * 3)
+        call.cancel()
+        await asyncio.sleep(0.5)
+        self.assertEqual([peer.broken_off for peer in self.peers], [1, 1])
+        views = self.forwarder.balancer.views.values()
+        self.assertEqual([view.in_flight for view in views], [0, 0])
+
+    async def test_calls_of_one_moment_are_spread_over_the_targets(self):
+        # Calls that came in one turn of the loop all chose the same target.
+        for _ in range(2):
+            await self.add_peer()
+        for number, load in enumerate((1, 3)):
+            peer = self.peers[number].address
+            self.forwarder.balancer.loaded(
+                peer, hops.Load(load, 0, 6), time.monotonic()
+            )
+        await asyncio.gather(*(self.call() for _ in range(12)))
+        self.assertGreaterEqual(min(peer.began for peer in self.peers), 4)
 
     async def test_refusal_at_the_deadline_never_asks_to_come_back_at_once(self):
         # Retry-After was 0.000 then, and callers without pauses would come in a loop.
