Do not end an upload because its target reads it late

What callers would see: 504 for an upload whose target took in the body after a pause; the target may still run it.

Cause: the kernel's limit of 0.4 s for unconfirmed bytes, meant to find silent connections, also ends a connection whose other side lets its window stay shut.

Evidence: test_body_that_is_read_late_is_not_broken_off failed before: 'Broken([Errno 110] Connection timed out)' after a pause of 1.2 s within 24 MB.

--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -8,6 +8,7 @@
 from lentilrouter.datapath import framing, messages
 from lentilrouter.proxy import connections
 
+BUFFERED_BYTES = 16 * 1024  # taken in by any receiver before it reads
 SETTLE_SECONDS = 0.02  # for the loop to see what waits in its sockets
 KEEP_ALIVE_IDLE_SECONDS = 1  # finds a silent connection within about three seconds
 KEEP_ALIVE_PROBES = 2
@@ -32,7 +33,7 @@
         self,
         silent_checks=False,
         idle_limit=connections.DEFAULT_IDLE_SECONDS,
-        unheard_ms=None,
+        unheard_ms=0,
     ):
         self.idle = {}
         self.unheard_ms = unheard_ms
@@ -63,6 +64,7 @@
             if isinstance(connection, messages.NotSent):
                 return connection
         data = framing.encode_request(request, address)
+        self._limit_silence(connection, len(data))
         outcome = await connection.exchange(
             data, request.method, end - time.monotonic(), id, confirmation
         )
@@ -114,11 +116,20 @@
             return messages.NotSent(f"connect {address}: {error}")
         if self.silent_checks:
             _set_options(transport, KEEP_ALIVE)
-        if self.unheard_ms:
-            user_timeout = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
-            _set_options(transport, [(*user_timeout, self.unheard_ms)])
         return protocol
 
+    def _limit_silence(self, connection, size):
+        """Have the kernel end a connection whose other side is not heard.
+
+        Its limit also ends one whose other side does not read on, so it holds only for
+        what fits into the buffers of the sockets.
+        """
+        limit = self.unheard_ms if size <= BUFFERED_BYTES else 0
+        if connection.unheard_ms != limit:
+            connection.unheard_ms = limit
+            option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit)
+            _set_options(connection.transport, [option])
+
     def _release(self, address, connection):
         if not connection.clean or connection.transport.is_closing():
             connection.discard()
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -145,6 +145,35 @@
         self.assertLessEqual(len(server.connections), 4100 // 4)
 
 
+class SlowReaderTests(unittest.IsolatedAsyncioTestCase):
+    """Send a large body to a target that takes it in late."""
+
+    async def test_body_that_is_read_late_is_not_broken_off(self):
+        # The kernel's limit for silent connections also ended those whose other side
+        # read nothing for a moment: an upload got 504, and its target might run it.
+        client = sending.Client(unheard_ms=400)
+        self.addCleanup(client.close)
+        body = b"x" * 24_000_000
+
+        async def serve(reader, writer):
+            await reader.readexactly(1000)
+            await asyncio.sleep(1.2)
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(body))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        headers = [(b"x-padding", b"y" * 1000)]
+        request = messages.Request("POST", "/", headers, body)
+        result = await client.send(f"127.0.0.1:{port}", request, 10.0)
+        self.assertIsInstance(result, messages.Replied)
+
+
 class ClientTests(unittest.IsolatedAsyncioTestCase):
     """Answer a client with raw bytes."""
 
