--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -1,6 +1,7 @@
 """Run the proxy beside one target: listeners, views of the store, duties, shutdown."""
 
 import asyncio
+import os
 import signal
 import traceback
 
@@ -240,3 +241,6 @@
         Proxy(settings, platform, settings_path).run,
         backend_options={"use_uvloop": True},
     )
+    # All is answered and logged. Taking the interpreter apart would use up what is
+    # left of the grace time, and delay the next process.
+    os._exit(0)
