Refuse large heartbeats, questions and requests for metrics

What would be seen: a target in trouble that sends heartbeats without end, or some of 64 MiB each, takes its proxy over its memory.

Cause: the ports for heartbeats, readiness and metrics had the limits of the port between proxies. Test: test_large_heartbeats_and_questions_are_refused failed before ('400 != 413': a body of 70 kB was read whole).

--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -29,6 +29,8 @@
 LAST_CALLS_SECONDS = 3.0  # after SIGTERM; a later call might not end in time
 EXIT_MARGIN_SECONDS = 0.5  # of the grace, for closing connections
 PEER_LIMITS = sheets.Limits(header_bytes=1024 * 1024, idle_seconds=60.0)
+# A heartbeat, question or request for metrics takes some hundred bytes.
+SMALL_LIMITS = sheets.Limits(body_bytes=64 * 1024, idle_seconds=60.0)
 
 
 class Proxy:
@@ -44,14 +46,14 @@
             sheet = self.services.holder.sheet
             return sheet.limits if sheet is not None else sheets.Limits()
 
-        def server(handler, limits=lambda: PEER_LIMITS, confirm=False):
+        def server(handler, limits=lambda: SMALL_LIMITS, confirm=False):
             return serving.Server(
                 handler, limits, _unread, self.services.counters.not_read, confirm
             )
 
         self.callers = server(self.services.forwarder.handle, limits)
         answerer = answering.Answerer(self.services)
-        self.peers = server(answerer.handle, confirm=True)
+        self.peers = server(answerer.handle, lambda: PEER_LIMITS, confirm=True)
         self.readiness = server(self._answer_ready)
         self.heartbeats = server(self._answer_beat)
         self.metrics = server(self._answer_metrics)
--- a/tests/proxy/test_path.py
+++ b/tests/proxy/test_path.py
@@ -113,6 +113,13 @@
         self.assertEqual([target.running for target in targets], [0, 0])
         self.assertEqual(sum(target.cancelled for target in targets), 1)
 
+    async def test_large_heartbeats_and_questions_are_refused(self):
+        # A few heartbeats of 64 MiB would have taken a proxy over its memory.
+        request = messages.Request("POST", "/x", [(b"host", b"x")], b"x" * 70_000)
+        for address in (self.first.heartbeats, self.first.ready):
+            result = await self.mesh.client.send(address, request, 2.0)
+            self.assertEqual(result.response.status, 413)
+
     async def test_body_over_the_limit_is_refused(self):
         response = await self.mesh.call(self.first, "/big/1", "POST", b"x" * 100001)
         self.assertEqual(response.status, 413)
