--- a/tests/proxy/test_stewarding.py
+++ b/tests/proxy/test_stewarding.py
@@ -1,6 +1,7 @@
 """Who leads a move, and what is left alone."""
 
 import asyncio
+import dataclasses
 import random
 import types
 import unittest
@@ -115,6 +116,30 @@
         )
         self.assertIsNone(services.bases.current("ledger"))
 
+    async def test_old_target_whose_proxy_is_slow_counts_as_at_work(self):
+        # Silence of a proxy was read as "no calls there": old targets may stop at once
+        # when a move is done, with the calls they run.
+        services = self.services(vault.Written(40))
+        target = directory.Target(
+            "i-old", "ledger", "v1", "z1", "127.0.0.4", "127.0.0.4:4", 6, True, 1
+        )
+        services.directory.put(target, 0.0)
+        services.hosting = types.SimpleNamespace(
+            belief=types.SimpleNamespace(target=None)
+        )
+        services.log.request = services.log.event
+
+        async def silent(peer, request, seconds):
+            return messages.Late("no answer in time")
+
+        services.peers = types.SimpleNamespace(send=silent)
+        lead = stewarding.Lead(services, "ledger", 1, 2)
+        _, busy = await lead._gather()
+        self.assertEqual(busy, {"v1": 1})
+        services.directory.put(dataclasses.replace(target, ready=False), 0.0)
+        _, busy = await lead._gather()
+        self.assertEqual(busy, {})
+
     async def test_next_steward_takes_a_halted_move_back(self):
         services = self.services(vault.Written(40))
         services.bases.halt("ledger", 14)
