--- a/tests/failures/soak/world.py
+++ b/tests/failures/soak/world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import json
 import random
 import signal
 
@@ -16,9 +15,21 @@
 SERVICES = ("ledger", "depot")
 BEAT_SECONDS = 1.0
 POLL_SECONDS = 0.02
+AWAY_SECONDS = (0.5, 4.0)  # of the store
+STORE_FAULTS = ("busy", "silent")
 LOG_SECONDS = 0.5  # until the proxies have written their lines
 SLOWEST_SECONDS = 0.22  # one way over a slow link; two ways stay below 0.6 s
-MOVES = ("stop", "stop", "stop several", "again", "reload", "change", "link", "link")
+MOVES = (
+    "stop",
+    "stop",
+    "stop several",
+    "again",
+    "reload",
+    "change",
+    "link",
+    "link",
+    "store",
+)
 
 
 class WorkingTarget(target.PlatformTarget):
@@ -122,10 +133,9 @@
 
     def logged(self):
         """Return what the proxies logged of the requests that went wrong."""
+        marks = [f'"id":"{id}"' for id in self.book.blamed]
         lines = [line for host in self.machines for line in host.lines()]
-        found = [
-            line for line in lines if json.loads(line).get("id") in self.book.blamed
-        ]
+        found = [line for line in lines if any(mark in line for mark in marks)]
         return sorted(found)  # each begins with its time
 
     def _caller(self, number, host):
@@ -160,10 +170,17 @@
             self._signal(host, signal.SIGHUP, host.relay.is_open)
         elif move == "change":
             self._change()
+        elif move == "store":
+            self.store.fault = self.random.choice(STORE_FAULTS)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.random.uniform(*AWAY_SECONDS), self._store_back)
         else:
             slow = self.random.random() < 0.7
             host.relay.delay = slow * self.random.uniform(0.0, SLOWEST_SECONDS)
 
+    def _store_back(self):
+        self.store.fault = ""
+
     def _signal(self, host, number, allowed):
         if allowed and host.process.poll() is None:
             host.kill(number)
