--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -74,10 +74,12 @@
                 continue
             self._regained(prefix)
             news = self._take_all(prefix, scanned, take)
-            if news and not first and prefix != entry.OWN_PREFIX:
+            # The first scan settles it, unless it took so long that it may be old.
+            settled = first and self.scan_seconds < OPERATOR_PERIOD_SECONDS
+            first = False
+            if news and not settled and prefix != entry.OWN_PREFIX:
                 await self._rest(prefix)
                 continue
-            first = False
             await self._watch(prefix, scanned.at, take)
 
     async def _scan(self, prefix):
@@ -92,14 +94,16 @@
         return scanned
 
     async def _watch(self, prefix, at, take):
-        """Watch until a scan is due: no answer, no history, or a new sheet."""
+        """Watch until a scan is due: an answer or history is lost, or a new sheet."""
         services = self.services
         while True:
             asked = services.clock()
             result = await self._wait(prefix, at)
             if result is None:
                 services.log.event("watch-again", prefix=prefix, after=at)
-                continue
+                if prefix == entry.OWN_PREFIX:
+                    continue
+                return
             if isinstance(result, vault.Forgotten):
                 services.log.event("history-gone", prefix=prefix, after=at)
                 return
