--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -22,9 +22,9 @@
     hops,
     moves,
     offering,
+    receiving,
     registry,
     sending,
-    serving,
 )
 from tests.proxy import doubles
 
@@ -172,7 +172,7 @@
             (b"x-request-id", b"c"),
             (b"x-deadline-ms", b"%d" % deadline_ms),
         ]
-        request = serving.Incoming(method, path, headers)
+        request = receiving.Incoming(method, path, headers)
         request.arrived = time.monotonic()
         request.source = "127.0.0.1"
         return await self.forwarder.handle(request)
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -22,6 +22,7 @@
     exchange,
     hops,
     moves,
+    receiving,
     serving,
 )
 from lentilrouter.proxy import sheets as product_sheets
@@ -59,7 +60,7 @@
         server.loop.set_exception_handler(
             lambda loop, context: failures.append(context)
         )
-        connection = serving.ServerConnection(server)
+        connection = receiving.ServerConnection(server)
         transport = doubles.Transport()
         connection.connection_made(transport)
         for piece in pieces:
--- a/tests/proxy/test_unbounded.py
+++ b/tests/proxy/test_unbounded.py
@@ -7,7 +7,7 @@
 import unittest
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import answers, connections, serving, sheets
+from lentilrouter.proxy import answers, connections, receiving, serving, sheets
 from tests.proxy import doubles
 
 KIB = 1024
@@ -285,7 +285,7 @@
             lambda status: None,
         )
         server.loop = asyncio.get_running_loop()
-        self.connection = serving.ServerConnection(server)
+        self.connection = receiving.ServerConnection(server)
         self.transport = doubles.Transport()
         self.connection.connection_made(self.transport)
         self.fed = 0
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -7,7 +7,7 @@
 import unittest
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import connections, sending, serving, sheets
+from lentilrouter.proxy import connections, receiving, sending, serving, sheets
 from tests.proxy import doubles
 
 LIMITS = sheets.Limits(
@@ -134,7 +134,7 @@
         server = serving.Server(handle, sheets.Limits, None, None)
         server.loop = asyncio.get_running_loop()
         for _ in range(1200):
-            connection = serving.ServerConnection(server)
+            connection = receiving.ServerConnection(server)
             transport = doubles.Transport()
             connection.connection_made(transport)
             connection.data_received(GET % 1)
@@ -156,7 +156,7 @@
         transports = [doubles.Transport() for _ in range(serving.RESTING_MAX + 2)]
         connections = []
         for transport in transports:
-            connections.append(serving.ServerConnection(server))
+            connections.append(receiving.ServerConnection(server))
             connections[-1].connection_made(transport)
             if len(connections) == 1:
                 connections[0].data_received(GET % 9)
