--- a/tests/failures/soak/__main__.py
+++ b/tests/failures/soak/__main__.py
@@ -28,6 +28,7 @@
     Case(5, 50.0, 3, "504 at 0.3 s: unconfirmed, no other target to send to"),
     Case(6, 45.0, 6, "504 at 0.3 s: unconfirmed, no other target to send to"),
     Case(7, 30.0, 3, "504 at 0.3 s: unconfirmed, no other target to send to"),
+    Case(21, 60.0, 6, "killed at the end of the grace time; one unanswered (open)"),
 )
 
 
