Judge a call by questions asked after it became late

Cause: the verdict on a host stayed until its next answer; a call sent to a host that had just come back, and was late, was given up on questions from before.

Evidence: test_questions_asked_before_a_call_do_not_end_it failed before (504 != 200).

--- a/lentilrouter/proxy/carrying.py
+++ b/lentilrouter/proxy/carrying.py
@@ -291,18 +291,19 @@
 
         Callers do not repeat what may not run twice, so ending it early helps nobody.
         """
+        now = self.services.clock()
         send.late = True
         self._log_late(call, send, waited, unsent)
         self.reach.doubt(send.target)
         if call.route.safe:
             loop = asyncio.get_running_loop()
-            send.watch = loop.create_task(self._watch(call, send))
+            send.watch = loop.create_task(self._watch(call, send, now))
             call.tell(send)
 
-    async def _watch(self, call, send):
+    async def _watch(self, call, send, since):
         """End a send once its host is gone; see meanwhile whether to send again."""
         loop = asyncio.get_running_loop()
-        gone = loop.create_task(self.reach.until_gone(send.target))
+        gone = loop.create_task(self.reach.until_gone(send.target, since))
         try:
             while not gone.done():
                 await asyncio.wait([gone], timeout=RECONSIDER_SECONDS)
--- a/lentilrouter/proxy/reaching.py
+++ b/lentilrouter/proxy/reaching.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import hops
@@ -20,21 +21,27 @@
 class Doubt:
     """Hold what is known of a host that is being asked.
 
-    ``gone`` ends with ``True`` once questions stayed unanswered, ``False`` if the host
-    answers.
+    ``missed`` has the times, in monotonic seconds, at which the last questions were
+    asked that stayed unanswered. ``news`` ends with each question, and has whether it
+    was answered.
     """
 
-    __slots__ = ("missed", "gone", "task")
+    __slots__ = ("missed", "news", "task", "logged")
 
     def __init__(self):
-        self.missed = 0
-        self.gone = asyncio.get_running_loop().create_future()
+        self.missed = collections.deque(maxlen=QUESTIONS)
+        self.news = asyncio.get_running_loop().create_future()
         self.task = None
+        self.logged = False
 
-    def settle(self, gone):
-        """Tell those who wait whether the host is gone."""
-        if not self.gone.done():
-            self.gone.set_result(gone)
+    def tell(self, answered):
+        """Tell those who wait how the last question ended."""
+        self.news.set_result(answered)
+        self.news = asyncio.get_running_loop().create_future()
+
+    def is_gone(self, since):
+        """Tell whether enough questions asked after a time stayed unanswered."""
+        return sum(asked >= since for asked in self.missed) >= QUESTIONS
 
 
 class Reach:
@@ -67,27 +74,32 @@
             self.services.peers.drop(target.peer)
         self.doubt(target)
 
-    async def until_gone(self, target):
-        """Return once a target's host is gone; ask again as long as it answers."""
-        while not await asyncio.shield(self.doubt(target).gone):
-            await asyncio.sleep(ASK_AGAIN_SECONDS)
+    async def until_gone(self, target, since):
+        """Return once a host left questions unanswered that were asked after a time."""
+        doubt = self.doubt(target)
+        while not doubt.is_gone(since):
+            if await asyncio.shield(doubt.news):
+                await asyncio.sleep(ASK_AGAIN_SECONDS)
+            doubt = self.doubt(target)
 
     async def _ask_until_settled(self, target, doubt):
+        answered = False
         try:
-            while doubt.missed < QUESTIONS or self._is_known(target):
+            while len(doubt.missed) < QUESTIONS or self._is_known(target):
                 asked = self.services.clock()
                 result = await self._ask(target)
-                if isinstance(result, messages.Replied):
-                    doubt.settle(gone=False)
+                answered = isinstance(result, messages.Replied)
+                if answered:
                     await self._regained(target, result.response)
                     return
                 if await self._tells_of_host(target, result, asked):
-                    self._missed(target, doubt, result.detail)
+                    self._missed(target, doubt, asked, result.detail)
+                doubt.tell(answered=False)
                 await asyncio.sleep(ASK_AGAIN_SECONDS)
         finally:
-            doubt.settle(gone=False)
             del self.doubts[target.host]
             self.balancer.reachable(target.host)
+            doubt.tell(answered)
 
     async def _ask(self, target):
         return await self.services.peers.send(target.peer, PING, QUESTION_SECONDS)
@@ -114,12 +126,12 @@
     def _is_known(self, target):
         return target.host in self.services.directory.by_host
 
-    def _missed(self, target, doubt, detail):
-        doubt.missed += 1
+    def _missed(self, target, doubt, asked, detail):
         self.lost(target, f"no answer to a question: {detail}")
-        if doubt.missed == QUESTIONS:
+        doubt.missed.append(asked)
+        if len(doubt.missed) == QUESTIONS and not doubt.logged:
+            doubt.logged = True
             self.services.log.event("peer-gone", host=target.host, asked=QUESTIONS)
-            doubt.settle(gone=True)
 
     async def _regained(self, target, answer):
         self.balancer.heard(target.host, self.services.clock())
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -276,6 +276,18 @@
         self.assertFalse(view.doubted)
         self.assertLessEqual(view.refused_until, time.monotonic())
 
+    async def test_questions_asked_before_a_call_do_not_end_it(self):
+        # LOST in the soak, seed 5: a call sent to a host that had just come back was
+        # given up 2 ms after it became late, on questions from before.
+        peer = await self.add_peer(mute=True)
+        self.assertEqual((await self.call("/slow/1", deadline_ms=6000)).status, 504)
+        peer.mute = False
+        peer.confirm_seconds = LATE_SECONDS
+        peer.answer_seconds = 0.5
+        answer = await self.call("/slow/2", deadline_ms=6000)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual((peer.began, peer.broken_off), (1, 0))
+
     async def test_one_unanswered_question_does_not_end_a_call_at_work(self):
         # The first question may go over a dead connection, or be lost on a slow link.
         peer = await self.add_peer(confirm_seconds=1.2, answer_seconds=0.7)
