Keep a target's leave that came before its proxy knew the target

Cause (by reading; the log of that proxy follows): a proxy that had just started answered 200 to the leave of a target it did not know, and forgot it; then it learned of the target from its own entry in the store, as ready.

Evidence: test_leave_heard_before_its_target_is_known_is_kept failed before ('ready' is not 'gone'). Change: such a leave is kept and holds for that target up to the start it names. test_belief, test_hosting, test_fuzz: 24 pass.

--- a/lentilrouter/proxy/belief.py
+++ b/lentilrouter/proxy/belief.py
@@ -57,7 +57,7 @@
 class Belief:
     """Hold what is believed of the target. No input or output."""
 
-    __slots__ = ("settings", "target", "state", "heard", "warm_at")
+    __slots__ = ("settings", "target", "state", "heard", "warm_at", "early_leave")
 
     def __init__(self, settings):
         self.settings = settings
@@ -65,6 +65,7 @@
         self.state = State.GONE
         self.heard = 0.0
         self.warm_at = 0.0
+        self.early_leave = None
 
     def hear(self, beat, now):
         """Take in a ``Beat``; return ``Accepted`` or ``Ignored``."""
@@ -85,6 +86,8 @@
         # A target that said it leaves is not taken back: its word binds the proxies.
         if not (same and self.state in (State.DRAINING, State.GONE)):
             self.state = beat.state
+        if self._has_left(beat):
+            self.state = State.GONE
         self.warm_at = now + beat.cold_seconds
         proxy = self.settings.proxy
         self.target = directory.Target(
@@ -104,8 +107,14 @@
         return Accepted(later != earlier)
 
     def leave(self, leave, now):
-        """Take in a ``Leave``; return ``Accepted`` or ``Ignored``."""
+        """Take in a ``Leave``; return ``Accepted`` or ``Ignored``.
+
+        One of a target that is not known yet is kept: the word is acknowledged, and
+        the store may still have the target's entry.
+        """
         known = self.target
+        if known is None:
+            self.early_leave = leave
         if known is None or known.id != leave.id:
             return Ignored(f"{leave.id} is not the local target")
         if leave.born and leave.born < known.born:
@@ -118,9 +127,20 @@
         """Believe an entry that this host's earlier process left in the store."""
         if self.target is None:
             self.target = target
-            self.state = State.READY if target.ready else State.DRAINING
             self.heard = now
             self.warm_at = now
+            self._set_state(State.READY if target.ready else State.DRAINING)
+            if self._has_left(target):
+                self._set_state(State.GONE)
+
+    def _has_left(self, target):
+        """Tell whether a target's leave came before it was known."""
+        leave = self.early_leave
+        return (
+            leave is not None
+            and leave.id == target.id
+            and (not leave.born or target.born <= leave.born)
+        )
 
     def note_silent(self):
         """Note that the target does not answer; return whether that is news."""
--- a/tests/proxy/test_belief.py
+++ b/tests/proxy/test_belief.py
@@ -3,7 +3,7 @@
 import dataclasses
 import unittest
 
-from lentilrouter.proxy import belief
+from lentilrouter.proxy import belief, directory
 from tests.proxy import doubles
 
 
@@ -24,6 +24,13 @@
     return belief.Beat(**values)
 
 
+def entry(born):
+    """Return what an earlier process of the host left in the store of the target."""
+    return directory.Target(
+        "i-1", "ledger", "v1", "z1", "127.0.0.1", "127.0.0.1:4", 6, True, born
+    )
+
+
 class BeliefTests(unittest.TestCase):
     """Feed heartbeats in every order."""
 
@@ -37,6 +44,18 @@
         self.assertEqual(self.belief.hear(beat(1), 0.0), belief.Accepted(True))
         self.assertEqual(self.belief.hear(beat(2), 1.5), belief.Accepted(False))
 
+    def test_leave_heard_before_its_target_is_known_is_kept(self):
+        # DRAIN: a proxy that had just started acknowledged a leave, then learned of the
+        # target from the store and gave it calls for seconds.
+        self.belief.leave(belief.Leave("i-1", 100), 0.0)
+        self.belief.restore(entry(born=100), 0.1)
+        self.assertIs(self.belief.state, belief.State.GONE)
+        self.assertFalse(self.belief.target.ready)
+        self.belief.hear(beat(5, born=100), 0.2)
+        self.assertIs(self.belief.state, belief.State.GONE)
+        self.belief.hear(beat(1, born=200), 0.3)
+        self.assertIs(self.belief.state, belief.State.READY)
+
     def test_late_beat_is_ignored(self):
         self.belief.hear(beat(5), 0.0)
         self.assert_ignored(self.belief.hear(beat(4, slots=9), 1.0))
