--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import types
 
 import orjson
@@ -250,28 +249,20 @@
         return move.state is not moves.State.RUNNING
 
     async def _gather(self):
-        """Return all evidence and how many calls each version has at work.
-
-        A target that should take calls, and whose proxy is silent, counts as at work.
-        """
+        """Return all evidence and how many calls each version has at work."""
         services = self.services
         targets = list(services.directory.by_service.get(self.service, ()))
         answers = await asyncio.gather(*(self._ask(target) for target in targets))
         own = services.hosting
-        address = services.settings.proxy.address
-        busy = collections.Counter(
-            target.version
-            for target, found in zip(targets, answers, strict=True)
-            if found is None and target.ready and target.host != address
-        )
         if own.belief.target is not None and own.belief.target.service == self.service:
             answers.append(answer(own))
+        busy = {}
         for found in answers:
             if found is None:
                 continue
             self.counts[found["id"]] = evidence.Evidence.from_json(found["evidence"])
             version = found["version"]
-            busy[version] += found["busy"]
+            busy[version] = busy.get(version, 0) + found["busy"]
         total = evidence.Evidence()
         for part in self.counts.values():
             total.add(part)
