Log how long a read of the store waited for its first byte

It now has 'waited', and 'newest', the revision that came, to follow one version over all proxies.

Evidence: LegTests failed before (no such field), passes now. No logic changes.

--- a/lentilrouter/datapath/messages.py
+++ b/lentilrouter/datapath/messages.py
@@ -54,9 +54,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Replied:
-    """Carry a response that arrived whole."""
+    """Carry a response that arrived whole.
+
+    ``waited`` is the time in seconds from the request to the first byte.
+    """
 
     response: Response
+    waited: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -27,18 +27,19 @@
 
     async def scan(self, prefix):
         """Read all items below a prefix, page by page."""
-        items, after, first_at = [], "", None
+        items, after, first_at, waited = [], "", None, 0.0
         while True:
             query = {"prefix": prefix, **({"after": after} if after else {})}
             reply = await self._page(query)
             if reply.status != 200:
                 return vault.Away(reply.reason)
             page = reply.body
+            waited += reply.waited
             items += [_item(row) for row in page["items"]]
             # A change between two pages shows again in a watch from the first page.
             first_at = page["at"] if first_at is None else first_at
             if not page["has_more"] or not page["items"]:
-                return vault.Scanned(items, first_at)
+                return vault.Scanned(items, first_at, waited)
             after = page["items"][-1]["key"]
 
     async def _page(self, query):
@@ -83,7 +84,7 @@
         if reply.status != 200:
             return vault.Away(reply.reason)
         changes = [_change(event) for event in reply.body["events"]]
-        return vault.Changed(changes, reply.body["at"])
+        return vault.Changed(changes, reply.body["at"], reply.waited)
 
     async def write(self, expected, puts, deletes=()):
         """Write all or nothing; ``expected`` maps keys to revisions, 0 for none."""
@@ -156,19 +157,23 @@
             return _Reply(0, None, f"{method} {path}: not JSON", True)
         unsure = response.status >= 500 and response.status != 503
         reason = f"{method} {path}: status {response.status}"
-        return _Reply(response.status, parsed, reason, unsure)
+        return _Reply(response.status, parsed, reason, unsure, outcome.waited)
 
 
 class _Reply:
-    """Hold status (0: none), decoded body, and whether a write may have happened."""
+    """Hold status (0: none), decoded body, and whether a write may have happened.
 
-    __slots__ = ("status", "body", "reason", "unsure")
+    ``waited`` is the time in seconds before the first byte of the answer.
+    """
 
-    def __init__(self, status, body, reason, unsure):
+    __slots__ = ("status", "body", "reason", "unsure", "waited")
+
+    def __init__(self, status, body, reason, unsure, waited=0.0):
         self.status = status
         self.body = body
         self.reason = reason
         self.unsure = unsure
+        self.waited = waited
 
 
 def _item(row):
--- a/lentilrouter/proxy/connections.py
+++ b/lentilrouter/proxy/connections.py
@@ -59,6 +59,7 @@
         "foreign",
         "unframed",
         "sent_at",
+        "first_byte_at",
     )
 
     def __init__(self, idle_limit=DEFAULT_IDLE_SECONDS):
@@ -76,6 +77,7 @@
         self.foreign = False
         self.unframed = False
         self.sent_at = 0.0
+        self.first_byte_at = 0.0
 
     def connection_made(self, transport):
         self.transport = transport
@@ -100,6 +102,8 @@
             # Bytes that no request waits for: a second answer, or noise.
             self.discard()
             return
+        if not self.first_byte_at:
+            self.first_byte_at = time.monotonic()
         for piece in framing.pieces(data):
             if self.transport.is_closing():
                 return
@@ -199,7 +203,8 @@
         # What follows in the same read belongs to no request, and not to this answer.
         message.headers, message.chunks = [], []
         answers.HELD.give(self)
-        self._finish(messages.Replied(response))
+        waited = self.first_byte_at - self.sent_at
+        self._finish(messages.Replied(response, waited))
 
     def _finish(self, outcome):
         if self.future is not None and not self.future.done():
@@ -229,6 +234,7 @@
         future = self.future = loop.create_future()
         late = messages.Late("no answer in time")
         self.sent_at = time.monotonic()
+        self.first_byte_at = 0.0
         timers = [loop.call_later(max(0.0, seconds), self._finish, late)]
         self.confirmation = confirmation
         if confirmation is not None:
--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -88,7 +88,7 @@
         asked = self.away.get(prefix, services.clock())
         scanned = await services.vault.scan(prefix)
         if isinstance(scanned, vault.Scanned):
-            self._note_read(prefix, "scan", asked, scanned.items)
+            self._note_read(prefix, "scan", asked, scanned.items, scanned.waited)
             if prefix != entry.OWN_PREFIX:
                 self.scan_seconds = services.clock() - asked
         return scanned
@@ -111,7 +111,7 @@
                 self._lost(prefix, result.reason)
                 await asyncio.sleep(services.random.uniform(*entry.RETRY_SECONDS))
                 return
-            self._note_read(prefix, "watch", asked, result.changes)
+            self._note_read(prefix, "watch", asked, result.changes, result.waited)
             for change in result.changes:
                 self.take(change, take)
             at = max(at, result.at)
@@ -142,8 +142,12 @@
         for limit in waiting.values():
             limit.reschedule(now)
 
-    def _note_read(self, prefix, call, asked, changes):
-        """Log an answer with what the operator wrote; ``seconds`` include the wait."""
+    def _note_read(self, prefix, call, asked, changes, waited):
+        """Log an answer with what the operator wrote, by the legs of its way.
+
+        ``waited`` are the seconds before its first byte, ``seconds`` those until it
+        was read whole; the difference was spent on the link.
+        """
         services = self.services
         if prefix != services.adapter.OPERATOR_PREFIX or not changes:
             return
@@ -151,7 +155,9 @@
         services.log.event(
             "operator-read",
             call=call,
+            waited=round(waited, 3),
             seconds=round(services.clock() - asked, 3),
+            newest=max(change.revision for change in changes),
             changes=len(changes),
             bytes=sum(len(value) for value in values),
         )
--- a/lentilrouter/proxy/vault.py
+++ b/lentilrouter/proxy/vault.py
@@ -27,18 +27,26 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Scanned:
-    """Carry all items below a prefix; watch from ``at`` for what follows."""
+    """Carry all items below a prefix; watch from ``at`` for what follows.
+
+    ``waited`` is the time in seconds before the first bytes of each page.
+    """
 
     items: list
     at: int
+    waited: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Changed:
-    """Carry ``Item`` and ``Removed`` in order; watch on from ``at``."""
+    """Carry ``Item`` and ``Removed`` in order; watch on from ``at``.
+
+    ``waited`` is the time in seconds before the first byte.
+    """
 
     changes: list
     at: int
+    waited: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -157,6 +157,21 @@
         self.assertEqual({fields["changes"] for fields in reads}, {1})
 
 
+class LegTests(FollowingCase):
+    """The log tells where a version's time went."""
+
+    # Guards against: a late version whose log line does not tell whether the store or
+    # the link made it late (issue 16).
+    async def test_line_of_a_read_has_the_wait_and_the_revision(self):
+        self.carry_in(0.3)
+        await self.follow()
+        line = next(fields for kind, fields in self.services.lines if kind == READ)
+        self.assertEqual(line["newest"], self.store.items["op/config"]["rev"])
+        # The stand-in sends the answer whole, after its time on the link.
+        self.assertGreaterEqual(line["waited"], 0.3)
+        self.assertLessEqual(line["waited"], line["seconds"])
+
+
 class SilentStoreTests(FollowingCase):
     """The store takes calls and answers none, then is back."""
 
