Have the configuration stored as a table, not as one object a route

As objects each route names its fields again; as a table they are named once.

The adapter reads this form alone. Rows of a wrong length are refused with a reason (test_reading, new case); the other cases of bad configurations are the same as before.

--- a/lentilrouter/platform/sheets.py
+++ b/lentilrouter/platform/sheets.py
@@ -30,16 +30,14 @@
     try:
         document = orjson.loads(value)
         version = int(document["version"], 16)
-        services, routes, limits = {}, [], sheets.Limits()
-        for item in document["resources"]:
-            kind, spec = item["kind_of"], item["spec"]
-            if kind == "services":
-                name = item["meta"]["name"]
-                services[name] = sheets.Service(name, int(spec.get("max_conns", 100)))
-            elif kind == "routes":
-                routes.append(_read_route(item["meta"]["name"], spec))
-            elif kind == "limits":
-                limits = _read_limits(spec)
+        services, routes = {}, []
+        for spec in _rows(document["services"]):
+            name = spec["name"]
+            services[name] = sheets.Service(name, int(spec.get("max_conns", 100)))
+        for spec in _rows(document["routes"]):
+            routes.append(_read_route(spec["name"], spec))
+        stated = document.get("limits")
+        limits = _read_limits(stated) if stated else sheets.Limits()
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Unreadable(f"{type(error).__name__}: {error}")
     for route in routes:
@@ -49,6 +47,14 @@
     return sheets.Sheet(version, routes, services, limits)
 
 
+def _rows(table):
+    """Yield each row of a table as a mapping; fields that are null are left out."""
+    names = table["cols"]
+    for row in table["rows"]:
+        fields = zip(names, row, strict=True)
+        yield {name: value for name, value in fields if value is not None}
+
+
 def _read_route(name, spec):
     split = spec.get("split") or [{"service": spec["service"], "weight": 1}]
     parts = tuple(
--- a/tests/platform/test_reading.py
+++ b/tests/platform/test_reading.py
@@ -37,10 +37,17 @@
         for name, change in cases.items():
             with self.subTest(name):
                 bad = json.loads(json.dumps(good))
-                bad["resources"][0]["spec"].update(change)
+                table = bad["routes"]
+                for field, value in change.items():
+                    table["rows"][0][table["cols"].index(field)] = value
                 result = sheets.read_sheet(json.dumps(bad).encode())
                 self.assertIsInstance(result, sheets.Unreadable)
                 self.assertTrue(result.reason)
+        short = json.loads(json.dumps(good))
+        short["routes"]["rows"][0].pop()
+        self.assertIsInstance(
+            sheets.read_sheet(json.dumps(short).encode()), sheets.Unreadable
+        )
         for value in (b"", b"{", b"[]", b"7", b"\xff\xfe", doubles.config(7)[:-9]):
             self.assertIsInstance(sheets.read_sheet(value), sheets.Unreadable)
 
--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -50,17 +50,27 @@
 
 def config(version, *routes, services=("ledger",)):
     """Return the operator's configuration as stored; routes are their specs."""
-    rows = [
-        {"kind_of": "routes", "meta": {"name": f"r{index}"}, "spec": spec}
-        for index, spec in enumerate(routes)
-    ]
-    rows += [
-        {"kind_of": "services", "meta": {"name": name}, "spec": {"max_conns": 50}}
-        for name in services
-    ]
-    limits = {"header_bytes": 8192, "body_bytes": 100000, "header_s": 1, "idle_s": 5}
-    rows.append({"kind_of": "limits", "meta": {}, "spec": limits})
-    return json.dumps({"version": f"{version:08x}", "resources": rows}).encode()
+    routes = [{"name": f"r{index}", **spec} for index, spec in enumerate(routes)]
+    rows = [{"name": name, "max_conns": 50} for name in services]
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "routes": columns(routes),
+            "services": columns(rows),
+            "limits": {
+                "header_bytes": 8192,
+                "body_bytes": 100000,
+                "header_s": 1,
+                "idle_s": 5,
+            },
+        }
+    ).encode()
+
+
+def columns(specs):
+    """Return specs as a table: the names of their fields once, then a row for each."""
+    names = sorted({name for spec in specs for name in spec})
+    return {"cols": names, "rows": [[s.get(n) for n in names] for s in specs]}
 
 
 def route(prefix="/read/", kind="safe", service="ledger", **fields):
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -259,7 +259,16 @@
         | strategies.dictionaries(
             strategies.sampled_from(
                 ["addr", "born", "info", "status", "seq", "slots", "state", "service"]
-                + ["version", "resources", "spec", "meta", "name", "kind_of", "to"]
+                + [
+                    "version",
+                    "routes",
+                    "services",
+                    "limits",
+                    "name",
+                    "cols",
+                    "rows",
+                    "to",
+                ]
                 + ["host", "peer", "id", "ready", "move", "old", "new", "order"]
             ),
             item,
