Tell callers of a proxy with an old sheet to come back, instead of 404

Cause: what no route matches was answered 404 however old the sheet was. A route added meanwhile is there; the caller gives up for good, though the call has not run.

Change: beyond in_force_seconds (the deployment's bound) such a request is refused with 503 and Retry-After, and a line 'refused' with the reason 'sheet may be old'. The cost: where the store is away for longer, a caller with a wrong path comes back once before it gives up. Routes that are known are served as before: refusing them would stop a domain that is cut off.

Test: test_unknown_route_is_404_only_with_a_proof_of_being_current failed before (404).

--- a/lentilrouter/conf/defaults.py
+++ b/lentilrouter/conf/defaults.py
@@ -211,6 +211,7 @@
     expose_share: float = option(
         0.1, help="share of calls a bad version may get", low=0, high=1
     )
+    in_force_seconds: float = _seconds(2.0, "time until a new sheet is in force")
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/lentilrouter/core/outcomes.py
+++ b/lentilrouter/core/outcomes.py
@@ -9,6 +9,7 @@
 
     NO_SHEET = "no sheet"
     NO_ROUTE = "no route"
+    SHEET_OLD = "sheet may be old"
     NO_TARGET = "no target"
     OVERLOADED = "overloaded"
     DRAINING = "draining"
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -46,11 +46,7 @@
         host = sheets.host_name(request.header(b"host") or "")
         route = sheet.match(host, request.path)
         if route is None:
-            services.log.request(
-                "no-route", id, host=host, path=request.path[:80], sheet=sheet.version
-            )
-            services.counters.refused("no-route")
-            return _plain(404, "no route")
+            return self._no_route(id, host, request.path, sheet)
         deadline = started + self._allowed(request, route)
         size = len(request.body) + self.answer_bytes.get(route.name, 0.0)
         call = carrying.Call(request, route, id, started, deadline, size)
@@ -64,6 +60,27 @@
         services.counters.ended(route.name, outcome, seconds)
         return self._respond(call, outcome, seconds)
 
+    def _no_route(self, id, host, path, sheet):
+        """Answer a request that no route matches.
+
+        The caller of a proxy that may have missed a new route is told to come back.
+        """
+        services = self.services
+        age = services.state.age()
+        if age > services.settings.promises.in_force_seconds:
+            detail = f"no route, and the sheet may be {min(age, 1e9):.1f} s old"
+            return self._refuse(id, None, detail, outcomes.Reason.SHEET_OLD)
+        services.log.request(
+            "no-route",
+            id,
+            host=host,
+            path=path[:80],
+            sheet=sheet.version,
+            age=round(age, 2),
+        )
+        services.counters.refused("no-route")
+        return _plain(404, "no route")
+
     def _allowed(self, request, route):
         text = request.header(self.services.dialect.DEADLINE_MS)
         allowed = route.timeout
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -116,6 +116,7 @@
     async def asyncSetUp(self):
         (self.port,) = doubles.free_ports(1)
         self.peers = []
+        self.sheet_age = 0.0
         self.services = self.make_services()
         self.addCleanup(self.services.peers.close)
         self.forwarder = self.make_forwarder(retry_extra=0.0)
@@ -131,6 +132,7 @@
         return types.SimpleNamespace(
             dialect=names,
             holder=holder,
+            state=types.SimpleNamespace(age=lambda: self.sheet_age),
             settings=doubles.settings(address="127.0.7.1"),
             clock=time.monotonic,
             random=random.Random(5),
@@ -180,6 +182,18 @@
     def events(self, kind):
         return [line for line in self.services.log.waiting if kind.encode() in line]
 
+    # Guards against: 404 for a route that is in the store, by a proxy that did not hear
+    # of the store for longer than a new sheet may take (issue 16, CONFIG).
+    async def test_unknown_route_is_404_only_with_a_proof_of_being_current(self):
+        bound = self.services.settings.promises.in_force_seconds
+        self.sheet_age = bound - 0.1
+        self.assertEqual((await self.call("/new/1")).status, 404)
+        for self.sheet_age in (bound + 0.1, float("inf")):
+            response = await self.call("/new/1")
+            self.assertEqual(response.status, 503)
+            self.assertGreater(float(response.header(b"retry-after")), 0.0)
+        self.assertEqual(len(self.events("sheet may be old")), 2)
+
     async def test_safe_calls_at_work_are_kept_beyond_the_allowance_for_repeats(self):
         # LOST: several calls to hosts on a slow link were given up after 0.3 s, each
         # as if it could be sent again; the allowance was enough for one of them.
