Refuse messages about the sheet whose fields have other types; watch 0.8 s

Two things that a read of the new code found; callers saw neither.

A message of another proxy whose version, names or numbers have another type passed the decoding and could raise where only ValueError is expected; the loop that keeps the sheet current, and with it the process, would end. Each field is checked as it is decoded, and a question is held 5 s at most whatever it asks. The fuzzer now feeds deltas, questions and answers, and whole deltas with one field changed.

A reader's watch ends after 0.8 s instead of 0.5 s (and a question is held 0.85 s): 75 calls a minute for each reader that nothing changes for, not 120. LossTests still bound the way at 2.0 s.

--- a/lentilrouter/proxy/deltas.py
+++ b/lentilrouter/proxy/deltas.py
@@ -50,6 +50,11 @@
     """Return the ``Delta`` in a decoded list; raise ``ValueError`` if it is none."""
     try:
         base, version, digest, routes, removed, services, limits = fields
+        names = [*removed, *(name for name, _ in services or ())]
+        if [type(base), type(version), type(digest)] != [int, int, int] or not all(
+            isinstance(name, str) for name in names
+        ):
+            raise ValueError(f"no delta: {fields!r}"[:100])
         return Delta(
             base,
             version,
--- a/lentilrouter/proxy/operator_state.py
+++ b/lentilrouter/proxy/operator_state.py
@@ -10,6 +10,8 @@
 
 from lentilrouter.proxy import deltas, questions, vault, views
 
+HOLD_MAX_SECONDS = 5.0  # for a question, whatever it asks
+
 
 class OperatorState:
     """Hold the operator's keys, and the sheet that they lead to.
@@ -174,7 +176,7 @@
         began = self.services.clock()
         if not self.closed and not self._has_news(question):
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(question.hold):
+                async with asyncio.timeout(min(question.hold, HOLD_MAX_SECONDS)):
                     await self.turn.wait()
         if self.closed or not self.at:
             return None
--- a/lentilrouter/proxy/questions.py
+++ b/lentilrouter/proxy/questions.py
@@ -98,12 +98,14 @@
         raise ValueError(f"no answer: {row!r}"[:100])
     at, held, age, complete, items, removed, revision, delta = row
     try:
+        rows = [(key, base64.b64decode(value), rev) for key, value, rev in items]
+        _check_keys([*((key, rev) for key, _, rev in rows), *removed])
         return Answer(
             at,
             held,
             age,
             complete,
-            [vault.Item(key, base64.b64decode(v), rev) for key, v, rev in items],
+            [vault.Item(*row) for row in rows],
             [vault.Removed(key, rev) for key, rev in removed],
             revision,
             delta,
@@ -112,6 +114,12 @@
         raise ValueError(f"no answer: {error}") from None
 
 
+def _check_keys(pairs):
+    for key, revision in pairs:
+        if type(key) is not str or type(revision) is not int:
+            raise ValueError(f"no key and revision: {key!r}, {revision!r}"[:100])
+
+
 def read_delta(answer):
     """Return the ``Delta`` of an answer, or ``None``; raise ``ValueError`` if bad."""
     return None if answer.delta is None else deltas.decode(answer.delta)
--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -12,9 +12,9 @@
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import entry, questions, readers, vault
 
-WATCH_SECONDS = 0.5  # a reader's watch: no answer for longer shows a silent store
+WATCH_SECONDS = 0.8  # a reader's watch: no answer for longer shows a silent store
 NEWS_WATCH_SECONDS = 0.25  # after news, whose answer proves nothing past its question
-HOLD_SECONDS = 0.6  # a question waits for what the next watch brings
+HOLD_SECONDS = 0.85  # a question waits for what the next watch brings
 LATE_SECONDS = 0.25  # beyond that time; an answer has some hundred bytes
 OVERDUE_SECONDS = WATCH_SECONDS + LATE_SECONDS
 URGENT_SECONDS = 0.3  # for the answer to a question that is not held
--- a/lentilrouter/proxy/sheets.py
+++ b/lentilrouter/proxy/sheets.py
@@ -67,7 +67,13 @@
     """
     name, host, prefix, safe, parts, attempts, timeout, goal, rank = row
     split = tuple(Part(service, weight) for service, weight in parts)
-    if not split or not all(isinstance(text, str) for text in (name, host, prefix)):
+    texts = [name, host, prefix, *(part.service for part in split)]
+    numbers = [attempts, timeout, goal, rank, *(part.weight for part in split)]
+    if not (
+        split
+        and all(isinstance(text, str) for text in texts)
+        and all(isinstance(number, int | float) for number in numbers)
+    ):
         raise ValueError(f"no route: {row!r}"[:100])
     return Route(name, host, prefix, safe, split, attempts, timeout, goal, rank)
 
--- a/tests/proxy/test_fuzz.py
+++ b/tests/proxy/test_fuzz.py
@@ -10,6 +10,7 @@
 import unittest
 
 import hypothesis
+import orjson
 from hypothesis import strategies
 
 from lentilrouter.datapath import messages
@@ -18,10 +19,12 @@
     answers,
     belief,
     connections,
+    deltas,
     directory,
     exchange,
     hops,
     moves,
+    questions,
     receiving,
     serving,
 )
@@ -308,6 +311,9 @@
             moves.decode,
             exchange.decode,
             hops.decode,
+            questions.decode_question,
+            lambda body: questions.decode_answer(messages.Response(200, [], body)),
+            lambda body: deltas.decode(orjson.loads(body)),
             lambda body: exchange.decode_row(body, str, int),
         )
         for reader in readers:
@@ -316,6 +322,24 @@
             except ValueError:
                 continue
 
+    @PROFILE
+    @hypothesis.given(strategies.integers(0, 6), strategies.integers(0, 8), JSON)
+    def test_changed_delta_is_refused_or_raises_the_one_error(self, field, part, odd):
+        routes = [doubles.route(), doubles.route("/b/")]
+        sheet = sheets.read_sheet(doubles.config(7, *routes))
+        for place in ("field", "row"):
+            fields = orjson.loads(orjson.dumps(deltas.whole(sheet).encode()))
+            if place == "field":
+                fields[field] = odd
+            else:
+                fields[3][0][part] = odd
+            try:
+                found = deltas.apply(None, deltas.decode(fields))
+            except ValueError:
+                continue
+            if isinstance(found, product_sheets.Sheet):
+                self.assertEqual(found.digest, fields[2])
+
     def test_deep_and_huge_json_is_refused(self):
         for value in (b"[" * 100000, b'{"a":' * 50000, b"9" * 100000, b'"\xff\xfe"'):
             self.assertIsInstance(sheets.read_sheet(value), sheets.Unreadable)
