Count the age of the proof of being current while a host is suspended

Callers saw nothing of this; found by reading the mend.

A proxy answers 404 only while its proof of being current is younger than the bound, and vouches with that age for its sheet to those that ask. The age was told by the monotonic clock, which stands still while a host is suspended: after 6 s of that a proof of 6 s looked new, here and on each proxy that asked in the moments after.

Cause: one clock served for intervals of work and for ages. Ages are now told by CLOCK_BOOTTIME (core/clock.py: elapsed), from the call of the store on.

Tests: test_age_counts_while_the_host_is_suspended and test_watch_proves_nothing_past_its_end_ after_a_suspension failed before (0.0 of 6.0 s, 0.0 of 5.5 s), pass now.

--- a/lentilrouter/core/clock.py
+++ b/lentilrouter/core/clock.py
@@ -3,6 +3,14 @@
 import time
 
 
+def elapsed():
+    """Return seconds that never go backwards and count while the host is suspended.
+
+    ``time.monotonic`` stands still meanwhile: what is told from it looks younger.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class SystemClock:
     """Read the clocks of the operating system."""
 
--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import base64
-import time
 import urllib.parse
 
 import orjson
 
+from lentilrouter.core import clock
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import vault
 
@@ -40,7 +40,7 @@
             # A change between two pages shows again in a watch from the first page.
             first = first or reply
             if not page["has_more"] or not page["items"]:
-                age = time.monotonic() - first.asked
+                age = clock.elapsed() - first.asked
                 return vault.Scanned(items, first.body["at"], waited, age)
             after = page["items"][-1]["key"]
 
@@ -55,7 +55,7 @@
         calls = [self.slow.pop(place)] if place in self.slow else []
         if calls and calls[0].done():
             reply = calls.pop().result()
-            if reply.status == 200 and time.monotonic() - reply.made < self.timeout:
+            if reply.status == 200 and clock.elapsed() - reply.made < self.timeout:
                 return reply
         kept = None
         try:
@@ -145,7 +145,7 @@
             headers += messages.JSON_TYPE
             data = orjson.dumps(body)
         self.calls += 1
-        asked = time.monotonic()
+        asked = clock.elapsed()
         request = messages.Request(method, target, headers, data)
         outcome = await self.client.send(
             self.address, request, self.timeout + extra_seconds
@@ -167,7 +167,7 @@
     """Hold status (0: none), decoded body, and whether a write may have happened.
 
     ``waited`` is the time in seconds before the first byte of the answer, ``asked`` the
-    monotonic time of the call, ``made`` that of its end.
+    time of the call by ``clock.elapsed``, ``made`` that of its end.
     """
 
     __slots__ = ("status", "body", "reason", "unsure", "waited", "asked", "made")
@@ -179,7 +179,7 @@
         self.unsure = unsure
         self.waited = waited
         self.asked = asked
-        self.made = time.monotonic()
+        self.made = clock.elapsed()
 
 
 def _item(row):
--- a/lentilrouter/proxy/operator_state.py
+++ b/lentilrouter/proxy/operator_state.py
@@ -17,8 +17,9 @@
     """Hold the operator's keys, and the sheet that they lead to.
 
     ``at`` is the revision of the store up to which nothing is missing, ``since`` the
-    one before which removals are not known, and ``proved_at`` the monotonic time at
-    which the store had nothing else. ``take_order`` gets each change of an order.
+    one before which removals are not known, and ``proved_at`` the time by the clock
+    ``elapsed`` at which the store had nothing else. ``take_order`` gets each change of
+    an order.
     """
 
     __slots__ = (
@@ -48,7 +49,7 @@
 
     def age(self):
         """Return the seconds since the store proved that there was nothing else."""
-        return self.services.clock() - self.proved_at
+        return self.services.elapsed() - self.proved_at
 
     def version(self):
         """Return the version of the sheet in force, 0 for none."""
@@ -69,7 +70,7 @@
         """
         news = self.view.take_each(changed.changes, self._take)
         waited = 0.0 if changed.changes else seconds
-        moment = min(asked + waited, self.services.clock())
+        moment = min(asked + waited, self.services.elapsed())
         self._proved(changed.at, moment, news)
         return news
 
@@ -173,14 +174,14 @@
 
     async def answer(self, question):
         """Return the ``Answer`` to a question, ``None`` if there is none to give."""
-        began = self.services.clock()
+        began = self.services.elapsed()
         if not self.closed and not self._has_news(question):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(question.hold, HOLD_MAX_SECONDS)):
                     await self.turn.wait()
         if self.closed or not self.at:
             return None
-        return self._answer(question, self.services.clock() - began)
+        return self._answer(question, self.services.elapsed() - began)
 
     def _has_news(self, question):
         return self.newest > question.at or self.version() > question.version
--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -195,7 +195,7 @@
 
     async def _ask(self, target, hold):
         """Ask a proxy; return an ``Outcome``."""
-        services, asked = self.services, self.services.clock()
+        services, asked = self.services, self.services.elapsed()
         request = messages.Request(
             "POST",
             questions.STATE_PATH,
@@ -229,7 +229,7 @@
         """Watch, or scan where a watch would bring more than one version."""
         if self.scan_due:
             return await self._scan()
-        services, asked = self.services, self.services.clock()
+        services, asked = self.services, self.services.elapsed()
         prefix = services.adapter.OPERATOR_PREFIX
         watch_seconds = self.watch_seconds
         result = await services.vault.watch(prefix, self.state.at, watch_seconds)
@@ -243,7 +243,7 @@
         self._note_read("watch", asked, result.changes, result.waited)
         self.state.take_changes(result, asked, watch_seconds)
         self.watch_seconds = NEWS_WATCH_SECONDS if result.changes else WATCH_SECONDS
-        seconds = services.clock() - asked
+        seconds = services.elapsed() - asked
         slow = seconds - result.waited > SLOW_READ_SECONDS or seconds > OVERDUE_SECONDS
         # Over a slow link a watch falls behind: it brings every version, a scan one.
         self.scan_due = len(result.changes) > 1 or (bool(result.changes) and slow)
@@ -260,11 +260,11 @@
         if isinstance(result, vault.Away):
             self._lost(result.reason)
             return Outcome.NONE
-        asked = services.clock() - result.age
+        asked = services.elapsed() - result.age
         self._note_read("scan", asked, result.items, result.waited)
         news = self.state.take_scan(result, asked)
         self._regained()
-        self.scan_due = news and services.clock() - asked > SLOW_READ_SECONDS
+        self.scan_due = news and services.elapsed() - asked > SLOW_READ_SECONDS
         if self.scan_due and self.place.reads:
             await asyncio.sleep(PAUSE_SECONDS)
         return Outcome.FRESH
@@ -306,7 +306,7 @@
             "operator-read",
             call=call,
             waited=round(waited, 3),
-            seconds=round(self.services.clock() - asked, 3),
+            seconds=round(self.services.elapsed() - asked, 3),
             newest=max(change.revision for change in changes),
             changes=len(changes),
             bytes=sum(len(value) for value in values),
--- a/lentilrouter/proxy/services.py
+++ b/lentilrouter/proxy/services.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from lentilrouter.core import clock as system_clocks
 from lentilrouter.core import logbook
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import (
@@ -38,14 +39,25 @@
 
 
 class Services:
-    """Hold the parts of a proxy that others reach by name."""
+    """Hold the parts of a proxy that others reach by name.
 
-    def __init__(self, settings, platform, clock=time.monotonic, wall=time.time):
+    ``clock`` is for intervals in which the process runs, ``elapsed`` for ages.
+    """
+
+    def __init__(
+        self,
+        settings,
+        platform,
+        clock=time.monotonic,
+        wall=time.time,
+        elapsed=system_clocks.elapsed,
+    ):
         self.settings = settings
         self.dialect = platform.dialect
         self.adapter = platform.adapter
         self.beats = platform.beats
         self.clock = clock
+        self.elapsed = elapsed
         self.random = random.Random(f"{settings.proxy.id} {wall()}")
         self.log = logbook.Logbook(1, settings.proxy.id, clock, wall)
         self.counters = counters.Counters()
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -6,6 +6,7 @@
 import types
 import unittest
 
+from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
 from lentilrouter.platform import store
 from lentilrouter.proxy import (
@@ -33,6 +34,7 @@
     def __init__(self, address):
         self.settings = doubles.settings()
         self.clock = time.monotonic
+        self.elapsed = clock.elapsed
         self.random = random.Random(7)
         self.adapter = adapter
         self.holder = holding.Holder()
--- a/tests/proxy/test_operator_state.py
+++ b/tests/proxy/test_operator_state.py
@@ -25,7 +25,9 @@
 
     def __init__(self):
         self.now = 100.0
+        self.suspended = 0.0
         self.clock = lambda: self.now
+        self.elapsed = lambda: self.now + self.suspended
         self.adapter = adapter
         self.holder = holding.Holder()
         self.counters = counters.Counters()
@@ -74,6 +76,21 @@
         self.other.state.take_answer(travelled(answer), None)
         self.assertGreaterEqual(self.other.state.age(), 3.0)
 
+    # Guards against: a host that was suspended, whose clock for intervals stood still:
+    # it takes its sheet for current, answers 404 and vouches for it to others.
+    async def test_age_counts_while_the_host_is_suspended(self):
+        self.reader.suspended += 6.0
+        self.assertAlmostEqual(self.reader.state.age(), 6.0)
+        await self.ask()
+        self.assertAlmostEqual(self.other.state.age(), 6.0)
+
+    # Guards against: a watch that a suspension cut short, taken for one that lasted.
+    async def test_watch_proves_nothing_past_its_end_after_a_suspension(self):
+        asked = self.reader.elapsed()
+        self.reader.suspended += 6.0
+        self.reader.state.take_changes(vault.Changed([], 15), asked, 0.5)
+        self.assertAlmostEqual(self.reader.state.age(), 5.5)
+
     # Guards against: what is told by a proxy that cannot prove it counting as a proof.
     async def test_taught_sheet_is_in_force_and_proves_nothing(self):
         taught = travelled(self.reader.state.everything())
--- a/tests/proxy/test_reading.py
+++ b/tests/proxy/test_reading.py
@@ -7,6 +7,7 @@
 import types
 import unittest
 
+from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
 from lentilrouter.platform import store
 from lentilrouter.proxy import (
@@ -103,6 +104,7 @@
     def __init__(self, host, address, link_mbps):
         self.settings = doubles.settings(address=host, link_mbps=link_mbps)
         self.clock = time.monotonic
+        self.elapsed = clock.elapsed
         self.random = random.Random(host)
         self.adapter = adapter
         self.holder = holding.Holder()
