Let a reader that the store refuses rest, and ask other proxies meanwhile

Callers saw nothing; the store got hundreds of calls a second from one proxy, each of them priced and charged to its processor.

Cause: the rest after a call without an answer was kept for proxies that ask others; a reader had none, since a silent store makes it wait by itself. A store that refuses does not.

Change: such a reader rests 0.8 s and asks others meanwhile. The rest ends at once where no other proxy has a fresh proof, as the store may be back for this one first.

--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -25,6 +25,7 @@
 SLOW_READ_SECONDS = 0.25  # of the link; versions that come faster would pile up
 PAUSE_SECONDS = 0.2  # between scans while changes come
 STORE_REST_SECONDS = 3.0  # at most between scans of a proxy that asks others
+READER_REST_SECONDS = 0.8  # of a reader that the store refuses, while others reach it
 
 
 class Outcome(enum.Enum):
@@ -102,7 +103,12 @@
                 running[asyncio.create_task(step.run())] = step
                 if await self._any_fresh(running, step.patience):
                     return True
-            return await self._any_fresh(running, None)
+            if await self._any_fresh(running, None):
+                return True
+            if self.place.reads:
+                # Nobody reaches the store: it may be back for this proxy first.
+                self.rest_until = 0.0
+            return False
         finally:
             for task in running:
                 task.cancel()
@@ -134,7 +140,8 @@
         for other in others:
             self._pass_over(other)
         self.misses = 0
-        self.rest_until = 0.0
+        if not (step.host and self.place.reads):
+            self.rest_until = 0.0
         source = "proxy" if step.host else "store"
         if source != self.source:
             self.source = source
@@ -154,7 +161,7 @@
         # While the store is silent to this proxy, others may hear from it again.
         again = [self._asking(target, HOLD_SECONDS) for target in sources]
         scan = Step(self._scan, SCAN_SECONDS)
-        if self.place.reads:
+        if self.place.reads and not (sources and now < self.rest_until):
             steps = [Step(self._read_store, OVERDUE_SECONDS)]
             steps += [self._asking(target, 0.0) for target in sources]
             steps += [scan] if sources and not self.scan_due else []
@@ -277,11 +284,12 @@
             prefix = services.adapter.OPERATOR_PREFIX
             services.log.event("store-lost", prefix=prefix, reason=reason)
         services.registry.reachable.clear()
+        rest = READER_REST_SECONDS
         if not self.place.reads:
             # Its sources answer and try the store themselves: many need not.
             self.misses += 1
             rest = min(STORE_REST_SECONDS, entry.RETRY_SECONDS[0] * 2**self.misses)
-            self.rest_until = services.clock() + rest
+        self.rest_until = services.clock() + rest
 
     def _regained(self):
         services = self.services
--- a/tests/proxy/test_reading.py
+++ b/tests/proxy/test_reading.py
@@ -70,7 +70,9 @@
     def __init__(self, inner):
         self.inner = inner
         self.cut = False
+        self.refused = False
         self.bytes_per_second = None
+        self.calls = 0
         self.scans = 0
         self.bytes = 0
 
@@ -84,6 +86,10 @@
         return await self.carried(result, getattr(result, "changes", ()))
 
     async def reached(self, call):
+        self.calls += 1
+        if self.refused:
+            call.close()
+            return product_vault.Away("status 503")
         if self.cut:
             call.close()
             await asyncio.sleep(1.5)
@@ -303,6 +309,24 @@
                 await self.until_all_have_it(others, IN_FORCE_SECONDS)
                 await self.until_all_have_it(self.nodes, CUT_OFF_SECONDS)
 
+    # Guards against: a reader that the store turns away at once, while others reach it,
+    # and that asks again without a pause (125 calls a second seen, each priced).
+    async def test_reader_that_the_store_refuses_asks_it_seldom_and_stays_current(self):
+        refused = self.nodes[:2]
+        for count in (1, 2):
+            for node in refused[:count]:
+                node.vault.refused = True
+                node.vault.calls = 0
+            began = time.monotonic()
+            for _ in range(4):
+                self.change()
+                await self.until_all_have_it(self.nodes[count:], IN_FORCE_SECONDS)
+                await self.until_all_have_it(self.nodes, CUT_OFF_SECONDS)
+                await asyncio.sleep(0.4)
+            seconds = time.monotonic() - began
+            for node in refused[:count]:
+                self.assertLess(node.vault.calls / seconds, 3.0)
+
     # Guards against: a version that waits for the rest of a domain after the store was
     # away: it is due some seconds after its return.
     async def test_all_are_current_soon_after_the_store_is_back(self):
