Let another proxy read the configuration where the store does not answer a reader

Cause: who reads was chosen by link and host alone. The refused readers asked a third proxy, which asked them; the one proof of a scan went round among them until it was 1.5 s old, and only then somebody asked the store again, once.

Change: a proxy that got no answer from the store, while another proxy had a fresh proof, says so in its answers, and at once to those that wait there. Others rank it last for 10 s, itself for 3 s; the next by link read, by watches. Where the store answers nobody there is no fresh proof, so nobody is ranked last and the order stays.

--- a/lentilrouter/proxy/operator_state.py
+++ b/lentilrouter/proxy/operator_state.py
@@ -19,7 +19,7 @@
     ``at`` is the revision of the store up to which nothing is missing, ``since`` the
     one before which removals are not known, and ``proved_at`` the time by the clock
     ``elapsed`` at which the store had nothing else. ``take_order`` gets each change of
-    an order.
+    an order. ``unanswered`` tells that the store answers others, but not this proxy.
     """
 
     __slots__ = (
@@ -31,6 +31,7 @@
         "newest",
         "proved_at",
         "whole_needed",
+        "unanswered",
         "turn",
         "closed",
     )
@@ -44,6 +45,7 @@
         self.newest = 0
         self.proved_at = -math.inf
         self.whole_needed = False
+        self.unanswered = False
         self.turn = asyncio.Event()
         self.closed = False
 
@@ -167,6 +169,16 @@
         turn, self.turn = self.turn, asyncio.Event()
         turn.set()
 
+    def note_unanswered(self, unanswered):
+        """Note whether the store answers others, but not this proxy.
+
+        Those that wait for an answer from here are told at once when that begins.
+        """
+        begins = unanswered and not self.unanswered
+        self.unanswered = unanswered
+        if begins:
+            self._wake()
+
     def question(self, hold):
         """Return the question for what this proxy lacks."""
         version = 0 if self.whole_needed else self.version()
@@ -199,6 +211,7 @@
             items,
             [] if complete else self.view.removed_since(question.at),
             self.view.known(self.services.adapter.CONFIG_KEY),
+            self.unanswered,
             self.services.holder.delta_since(question.version),
         )
 
--- a/lentilrouter/proxy/questions.py
+++ b/lentilrouter/proxy/questions.py
@@ -44,7 +44,8 @@
     ``held`` are the seconds that the answer waited, ``age`` those since the store
     proved that there was nothing else. With ``complete`` all items are there, and what
     is not was removed. ``revision`` is that of the sheet; ``delta`` leads to it, and is
-    ``None`` for a proxy that has it.
+    ``None`` for a proxy that has it. ``unanswered`` tells that the store answers other
+    proxies, but not the one that this comes from.
     """
 
     at: int
@@ -54,6 +55,7 @@
     items: list
     removed: list
     revision: int
+    unanswered: bool
     delta: list | None
 
     def encode(self):
@@ -71,6 +73,7 @@
                 rows,
                 [[gone.key, gone.revision] for gone in self.removed],
                 self.revision,
+                self.unanswered,
                 self.delta,
             ]
         )
@@ -93,10 +96,10 @@
     if message.header(DEFLATED[0]) == DEFLATED[1].decode():
         body = _inflate(body)
     row = orjson.loads(body)
-    kinds = [int, float, float, bool, list, list, int]
+    kinds = [int, float, float, bool, list, list, int, bool]
     if not isinstance(row, list) or [type(f) for f in row[:-1]] != kinds:
         raise ValueError(f"no answer: {row!r}"[:100])
-    at, held, age, complete, items, removed, revision, delta = row
+    at, held, age, complete, items, removed, revision, unanswered, delta = row
     try:
         rows = [(key, base64.b64decode(value), rev) for key, value, rev in items]
         _check_keys([*((key, rev) for key, _, rev in rows), *removed])
@@ -108,6 +111,7 @@
             [vault.Item(*row) for row in rows],
             [vault.Removed(key, rev) for key, rev in removed],
             revision,
+            unanswered,
             delta,
         )
     except (TypeError, AttributeError) as error:
--- a/lentilrouter/proxy/readers.py
+++ b/lentilrouter/proxy/readers.py
@@ -1,8 +1,9 @@
 """Choose which proxies read the operator's keys from the store, and whom others ask.
 
 All proxies of a failure domain that know the same hosts choose the same: those with the
-fastest links read the store, the next ask them, and so on, ``FANOUT`` to a proxy. Views
-that differ do no harm, since any proxy may be asked.
+fastest links read the store, the next ask them, and so on, ``FANOUT`` to a proxy. Hosts
+that the store does not answer come last. Views that differ do no harm, since any proxy
+may be asked.
 """
 
 import dataclasses
@@ -21,9 +22,12 @@
     sources: tuple
 
 
-def choose(host, targets):
-    """Return the ``Place`` of a host among the targets of its failure domain."""
-    ranked = sorted(targets, key=_rank)
+def choose(host, targets, unanswered=()):
+    """Return the ``Place`` of a host among the targets of its failure domain.
+
+    ``unanswered`` are the hosts that the store does not answer.
+    """
+    ranked = sorted(targets, key=lambda target: _rank(target, unanswered))
     hosts = [target.host for target in ranked]
     index = hosts.index(host) if host in hosts else len(hosts)
     if index < READERS:
@@ -41,5 +45,6 @@
     return Place(not places, tuple(ranked[place] for place in places))
 
 
-def _rank(target):
-    return (-target.link_mbps, hashing.hash64(target.host))
+def _rank(target, unanswered):
+    last = target.host in unanswered
+    return (last, -target.link_mbps, hashing.hash64(target.host))
--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -22,6 +22,8 @@
 ANSWER_SECONDS = 1.0  # after which a question is given up
 FRESH_SECONDS = 1.5  # two watches, the first ended by news, over slow ways
 SHUNNED_SECONDS = 3.0  # a proxy that did not answer is asked again after that
+UNANSWERED_SECONDS = 3.0  # by the store, after which a proxy tries to read it again
+TOLD_SECONDS = 10.0  # others let it pass longer: they hear no more of it meanwhile
 SLOW_READ_SECONDS = 0.25  # of the link; versions that come faster would pile up
 PAUSE_SECONDS = 0.2  # between scans while changes come
 STORE_REST_SECONDS = 3.0  # at most between scans of a proxy that asks others
@@ -65,6 +67,8 @@
         "place",
         "chosen_for",
         "shunned",
+        "unanswered",
+        "store_missed",
         "source",
         "turns",
         "watch_seconds",
@@ -80,6 +84,8 @@
         self.place = readers.Place(True, ())
         self.chosen_for = None
         self.shunned = {}
+        self.unanswered = {}
+        self.store_missed = False
         self.source = ""
         self.turns = 0
         self.watch_seconds = WATCH_SECONDS
@@ -97,6 +103,7 @@
     async def _round(self):
         """Try one way after the other; return whether the proof is fresh."""
         steps = self._steps()
+        self.store_missed = False
         running = {}
         try:
             for step in steps:
@@ -139,6 +146,8 @@
         """Note what was the way, and pass over proxies that could not in time."""
         for other in others:
             self._pass_over(other)
+        if step.host and self.store_missed:
+            self._note_unanswered()
         self.misses = 0
         if not (step.host and self.place.reads):
             self.rest_until = 0.0
@@ -152,10 +161,25 @@
     def _pass_over(self, step):
         if step.host:
             self.shunned[step.host] = self.services.clock() + SHUNNED_SECONDS
+        else:
+            self.store_missed = True
+
+    def _note_unanswered(self):
+        """Let another proxy read the store, which does not answer this one."""
+        services = self.services
+        host = services.settings.proxy.address
+        if not self.state.unanswered:
+            services.log.event("store-answers-others", reads=self.place.reads)
+        self.unanswered[host] = services.clock() + UNANSWERED_SECONDS
+        self.state.note_unanswered(True)
 
     def _steps(self):
         now = self.services.clock()
         self.shunned = {h: until for h, until in self.shunned.items() if until > now}
+        self.unanswered = {h: t for h, t in self.unanswered.items() if t > now}
+        self.state.note_unanswered(
+            self.services.settings.proxy.address in self.unanswered
+        )
         self._choose()
         sources = self.place.sources
         # While the store is silent to this proxy, others may hear from it again.
@@ -179,7 +203,9 @@
     def _choose(self):
         """Choose this proxy's place anew if the targets known have changed."""
         services = self.services
-        chosen_for = (services.directory.changes, frozenset(self.shunned))
+        unanswered = frozenset(self.unanswered)
+        shunned = frozenset(self.shunned)
+        chosen_for = (services.directory.changes, shunned, unanswered)
         if chosen_for == self.chosen_for:
             return
         self.chosen_for = chosen_for
@@ -191,7 +217,7 @@
             and target.open
             and target.host not in self.shunned
         ]
-        self.place = readers.choose(proxy.address, targets)
+        self.place = readers.choose(proxy.address, targets, unanswered)
 
     def _asking(self, target, hold):
         async def run():
@@ -220,6 +246,7 @@
         except ValueError as error:
             services.log.event("source-lost", host=target.host, reason=str(error))
             return Outcome.NONE
+        self._note_reader(target.host, answer.unanswered)
         if taken and self._judge() is Outcome.FRESH:
             self._regained()
             return Outcome.FRESH
@@ -228,6 +255,13 @@
             services.log.event("source-old", host=target.host, age=age)
         return Outcome.OLD
 
+    def _note_reader(self, host, unanswered):
+        """Note whether the store answers another proxy."""
+        if unanswered:
+            self.unanswered[host] = self.services.clock() + TOLD_SECONDS
+        else:
+            self.unanswered.pop(host, None)
+
     def _judge(self):
         fresh = self.state.age() <= FRESH_SECONDS
         return Outcome.FRESH if fresh else Outcome.OLD
@@ -254,7 +288,7 @@
         slow = seconds - result.waited > SLOW_READ_SECONDS or seconds > OVERDUE_SECONDS
         # Over a slow link a watch falls behind: it brings every version, a scan one.
         self.scan_due = len(result.changes) > 1 or (bool(result.changes) and slow)
-        self._regained()
+        self._answered()
         return self._judge()
 
     async def _scan(self):
@@ -270,7 +304,7 @@
         asked = services.elapsed() - result.age
         self._note_read("scan", asked, result.items, result.waited)
         news = self.state.take_scan(result, asked)
-        self._regained()
+        self._answered()
         self.scan_due = news and services.elapsed() - asked > SLOW_READ_SECONDS
         if self.scan_due and self.place.reads:
             await asyncio.sleep(PAUSE_SECONDS)
@@ -291,6 +325,12 @@
             rest = min(STORE_REST_SECONDS, entry.RETRY_SECONDS[0] * 2**self.misses)
         self.rest_until = services.clock() + rest
 
+    def _answered(self):
+        """Note that the store answered this proxy."""
+        self.unanswered.pop(self.services.settings.proxy.address, None)
+        self.state.note_unanswered(False)
+        self._regained()
+
     def _regained(self):
         services = self.services
         services.registry.reachable.set()
--- a/tests/proxy/test_operator_state.py
+++ b/tests/proxy/test_operator_state.py
@@ -181,6 +181,9 @@
     def test_bad_messages_raise_the_one_error(self):
         bodies = [b"", b"{}", b"[1]", b"[1,2,3]", b"[1,0.1,0.1,true,[1],[],1,null]"]
         bodies += [b"[1,0.1,0.1,true,[],[[1]],1,null]"]
+        bodies += [b"[1,0.1,0.1,true,[1],[],1,false,null]"]
+        bodies += [b"[1,0.1,0.1,true,[],[[1]],1,false,null]"]
+        bodies += [b"[1,0.1,0.1,true,[],[],1,0,null]"]
         for body in bodies:
             with self.subTest(body=body), self.assertRaises(ValueError):
                 questions.decode_answer(messages.Response(200, [], body))
--- a/tests/proxy/test_readers.py
+++ b/tests/proxy/test_readers.py
@@ -56,6 +56,21 @@
         random.Random(3).shuffle(targets)
         self.assertEqual(self.places(targets), before)
 
+    # Guards against: a domain that goes on asking readers which the store does not
+    # answer, while it answers others there (issue 16, question 7).
+    def test_hosts_that_the_store_does_not_answer_are_asked_last(self):
+        targets = domain(30)
+        usual = self.places(targets)
+        away = {host for host, place in usual.items() if place.reads}
+        for each in targets:
+            place = readers.choose(each.host, targets, away)
+            sources = {source.host for source in place.sources}
+            self.assertFalse(place.reads and each.host in away)
+            self.assertTrue(place.reads or not sources & away)
+        few = targets[:2]
+        both = {each.host for each in few}
+        self.assertTrue(readers.choose(few[0].host, few, both).reads)
+
     def test_fastest_links_read(self):
         fast = [target("10.9.0.1", 200.0), target("10.9.0.2", 100.0)]
         places = self.places([*domain(20), *fast])
--- a/tests/proxy/test_reading.py
+++ b/tests/proxy/test_reading.py
@@ -227,6 +227,12 @@
             self.assertLess(late, seconds, f"version {self.version}: {held}")
             await asyncio.sleep(STEP_SECONDS)
 
+    async def latest_delay(self, nodes):
+        """Write a version; return the seconds until the last of the proxies has it."""
+        self.change()
+        await self.until_all_have_it(nodes, CUT_OFF_SECONDS)
+        return time.monotonic() - self.stored[self.version]
+
     def assert_same(self, nodes):
         """Check that all hold what the operator wrote, to the last route."""
         item = self.store.value(adapter.CONFIG_KEY)
@@ -327,6 +333,21 @@
             for node in refused[:count]:
                 self.assertLess(node.vault.calls / seconds, 3.0)
 
+    # Guards against: proxies that repeat each other's proof where the store refuses or
+    # ignores both readers: one that the store would answer heard of versions 2.3 s
+    # after they were stored (issue 16, question 7).
+    async def test_versions_are_in_force_in_time_while_both_readers_are_cut_off(self):
+        for how in ("refused", "cut"):
+            for node in self.nodes[:2]:
+                setattr(node.vault, how, True)
+            self.change()
+            await self.until_all_have_it(self.nodes[2:], IN_FORCE_SECONDS)
+            late = [await self.latest_delay(self.nodes[2:]) for _ in range(20)]
+            self.assertLess(max(late), IN_FORCE_SECONDS, how)
+            for node in self.nodes[:2]:
+                setattr(node.vault, how, False)
+            await asyncio.sleep(1.0)
+
     # Guards against: a version that waits for the rest of a domain after the store was
     # away: it is due some seconds after its return.
     async def test_all_are_current_soon_after_the_store_is_back(self):
@@ -338,3 +359,9 @@
         self.stored[self.version] = time.monotonic()
         await self.until_all_have_it(self.nodes, 4.0)
         self.assert_same(self.nodes)
+
+
+class SmallDomainTests(LossTests):
+    """The same where only one proxy more than the readers is there."""
+
+    count = 3
