--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -1,16 +1,12 @@
 """Keep current what the operator wrote: read the store, or ask a proxy that does.
 
-Each round has steps, the usual one first. A step that has not brought a fresh proof of
-being current when its patience ends is not given up: the next goes on beside it, and
-the first that brings one ends the round. The store is the last step of all.
+Each round has steps, the usual one first. The store is the last step of all.
 """
 
 import asyncio
-import dataclasses
-import enum
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import entry, questions, readers, vault
+from lentilrouter.proxy import entry, questions, rounds, sources, vault
 
 WATCH_SECONDS = 0.8  # a reader's watch: no answer for longer shows a silent store
 NEWS_WATCH_SECONDS = 0.25  # after news, whose answer proves nothing past its question
@@ -21,39 +17,12 @@
 SCAN_SECONDS = 0.5  # for the store's answer, before proxies are asked again beside it
 ANSWER_SECONDS = 1.0  # after which a question is given up
 FRESH_SECONDS = 1.5  # two watches, the first ended by news, over slow ways
-SHUNNED_SECONDS = 3.0  # a proxy that did not answer is asked again after that
-UNANSWERED_SECONDS = 3.0  # by the store, after which a proxy tries to read it again
-TOLD_SECONDS = 10.0  # others let it pass longer: they hear no more of it meanwhile
 SLOW_READ_SECONDS = 0.25  # of the link; versions that come faster would pile up
 PAUSE_SECONDS = 0.2  # between scans while changes come
 STORE_REST_SECONDS = 3.0  # at most between scans of a proxy that asks others
 READER_REST_SECONDS = 0.8  # of a reader that the store refuses, while others reach it
 
 
-class Outcome(enum.Enum):
-    """Tell what a way to become current led to.
-
-    ``OLD`` is an answer without a fresh proof, ``NONE`` no answer.
-    """
-
-    FRESH = "fresh"
-    OLD = "old"
-    NONE = "none"
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Step:
-    """Hold one way to become current: ``run`` returns an ``Outcome``.
-
-    ``patience`` are the seconds before the next way is tried beside it; ``host`` is the
-    one that is asked, empty for the store.
-    """
-
-    run: object
-    patience: float
-    host: str = ""
-
-
 class Reading:
     """Follow the operator's keys for ever.
 
@@ -64,13 +33,8 @@
     __slots__ = (
         "services",
         "state",
-        "place",
-        "chosen_for",
-        "shunned",
-        "unanswered",
-        "store_missed",
+        "sources",
         "source",
-        "turns",
         "watch_seconds",
         "scan_due",
         "away_since",
@@ -81,13 +45,8 @@
     def __init__(self, services):
         self.services = services
         self.state = services.state
-        self.place = readers.Place(True, ())
-        self.chosen_for = None
-        self.shunned = {}
-        self.unanswered = {}
-        self.store_missed = False
+        self.sources = sources.Sources(services)
         self.source = ""
-        self.turns = 0
         self.watch_seconds = WATCH_SECONDS
         self.scan_due = True
         self.away_since = None
@@ -102,129 +61,56 @@
 
     async def _round(self):
         """Try one way after the other; return whether the proof is fresh."""
-        steps = self._steps()
-        self.store_missed = False
-        running = {}
-        try:
-            for step in steps:
-                running[asyncio.create_task(step.run())] = step
-                if await self._any_fresh(running, step.patience):
-                    return True
-            if await self._any_fresh(running, None):
-                return True
-            if self.place.reads:
-                # Nobody reaches the store: it may be back for this proxy first.
-                self.rest_until = 0.0
-            return False
-        finally:
-            for task in running:
-                task.cancel()
-            await asyncio.gather(*running, return_exceptions=True)
-
-    async def _any_fresh(self, running, seconds):
-        """Wait until a step brings a fresh proof, all have ended, or time is up."""
-        loop = asyncio.get_running_loop()
-        end = None if seconds is None else loop.time() + seconds
-        while running:
-            left = None if end is None else end - loop.time()
-            if left is not None and left <= 0:
-                return False
-            done, _ = await asyncio.wait(
-                running, timeout=left, return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                step = running.pop(task)
-                outcome = task.result()
-                if outcome is Outcome.FRESH:
-                    self._settle(step, running.values())
-                    return True
-                if outcome is Outcome.NONE:
-                    self._pass_over(step)
-        return False
+        self.sources.choose()
+        ended = await rounds.run(self._steps())
+        for step in ended.missed:
+            if step.host:
+                self.sources.shun(step.host)
+        if ended.fresh is not None:
+            self._settle(ended)
+        elif self.sources.place.reads:
+            # Nobody reaches the store: it may be back for this proxy first.
+            self.rest_until = 0.0
+        return ended.fresh is not None
 
-    def _settle(self, step, others):
-        """Note what was the way, and pass over proxies that could not in time."""
-        for other in others:
-            self._pass_over(other)
-        if step.host and self.store_missed:
-            self._note_unanswered()
+    def _settle(self, ended):
+        """Note what was the way to a fresh proof."""
+        step, reads = ended.fresh, self.sources.place.reads
+        if step.host and any(not missed.host for missed in ended.missed):
+            self.sources.note_own(True)
         self.misses = 0
-        if not (step.host and self.place.reads):
+        if not (step.host and reads):
             self.rest_until = 0.0
         source = "proxy" if step.host else "store"
         if source != self.source:
             self.source = source
             self.services.log.event(
-                "state-source", source=source, host=step.host, reads=self.place.reads
+                "state-source", source=source, host=step.host, reads=reads
             )
 
-    def _pass_over(self, step):
-        if step.host:
-            self.shunned[step.host] = self.services.clock() + SHUNNED_SECONDS
-        else:
-            self.store_missed = True
-
-    def _note_unanswered(self):
-        """Let another proxy read the store, which does not answer this one."""
-        services = self.services
-        host = services.settings.proxy.address
-        if not self.state.unanswered:
-            services.log.event("store-answers-others", reads=self.place.reads)
-        self.unanswered[host] = services.clock() + UNANSWERED_SECONDS
-        self.state.note_unanswered(True)
-
     def _steps(self):
-        now = self.services.clock()
-        self.shunned = {h: until for h, until in self.shunned.items() if until > now}
-        self.unanswered = {h: t for h, t in self.unanswered.items() if t > now}
-        self.state.note_unanswered(
-            self.services.settings.proxy.address in self.unanswered
-        )
-        self._choose()
-        sources = self.place.sources
+        now, place = self.services.clock(), self.sources.place
         # While the store is silent to this proxy, others may hear from it again.
-        again = [self._asking(target, HOLD_SECONDS) for target in sources]
-        scan = Step(self._scan, SCAN_SECONDS)
-        if self.place.reads and not (sources and now < self.rest_until):
-            steps = [Step(self._read_store, OVERDUE_SECONDS)]
-            steps += [self._asking(target, 0.0) for target in sources]
-            steps += [scan] if sources and not self.scan_due else []
+        again = [self._asking(target, HOLD_SECONDS) for target in place.sources]
+        scan = rounds.Step(self._scan, SCAN_SECONDS)
+        if place.reads and not (place.sources and now < self.rest_until):
+            steps = [rounds.Step(self._read_store, OVERDUE_SECONDS)]
+            steps += [self._asking(target, 0.0) for target in place.sources]
+            steps += [scan] if place.sources and not self.scan_due else []
             return [*steps, *again]
-        # In turn, so that one which has no news, being cut off, does not hold this up.
-        self.turns += 1
-        turn = self.turns % len(sources)
-        first, *rest = sources[turn:] + sources[:turn]
+        first, *rest = self.sources.in_turn()
         steps = [self._asking(first, HOLD_SECONDS)]
         steps += [self._asking(target, 0.0) for target in rest]
         if now < self.rest_until:
             return steps
         return [*steps, scan, *again]
 
-    def _choose(self):
-        """Choose this proxy's place anew if the targets known have changed."""
-        services = self.services
-        unanswered = frozenset(self.unanswered)
-        shunned = frozenset(self.shunned)
-        chosen_for = (services.directory.changes, shunned, unanswered)
-        if chosen_for == self.chosen_for:
-            return
-        self.chosen_for = chosen_for
-        proxy = services.settings.proxy
-        targets = [
-            target
-            for target in services.directory.by_host.values()
-            if target.domain == proxy.domain
-            and target.open
-            and target.host not in self.shunned
-        ]
-        self.place = readers.choose(proxy.address, targets, unanswered)
-
     def _asking(self, target, hold):
         async def run():
             return await self._ask(target, hold)
 
         patience = hold + LATE_SECONDS if hold else URGENT_SECONDS
-        return Step(run, patience, target.host)
+        return rounds.Step(run, patience, target.host)
 
     async def _ask(self, target, hold):
         """Ask a proxy; return an ``Outcome``."""
@@ -239,32 +125,25 @@
         if not isinstance(result, messages.Replied) or result.response.status != 200:
             detail = getattr(result, "detail", "no answer to give")
             services.log.event("source-lost", host=target.host, reason=detail)
-            return Outcome.NONE
+            return rounds.Outcome.NONE
         try:
             answer = questions.decode_answer(result.response)
             taken = self.state.take_answer(answer, asked)
         except ValueError as error:
             services.log.event("source-lost", host=target.host, reason=str(error))
-            return Outcome.NONE
-        self._note_reader(target.host, answer.unanswered)
-        if taken and self._judge() is Outcome.FRESH:
+            return rounds.Outcome.NONE
+        self.sources.note(target.host, answer.unanswered)
+        if taken and self._judge() is rounds.Outcome.FRESH:
             self._regained()
-            return Outcome.FRESH
+            return rounds.Outcome.FRESH
         if taken:
             age = round(min(self.state.age(), 1e9), 2)
             services.log.event("source-old", host=target.host, age=age)
-        return Outcome.OLD
-
-    def _note_reader(self, host, unanswered):
-        """Note whether the store answers another proxy."""
-        if unanswered:
-            self.unanswered[host] = self.services.clock() + TOLD_SECONDS
-        else:
-            self.unanswered.pop(host, None)
+        return rounds.Outcome.OLD
 
     def _judge(self):
         fresh = self.state.age() <= FRESH_SECONDS
-        return Outcome.FRESH if fresh else Outcome.OLD
+        return rounds.Outcome.FRESH if fresh else rounds.Outcome.OLD
 
     async def _read_store(self):
         """Watch, or scan where a watch would bring more than one version."""
@@ -280,7 +159,7 @@
                 services.log.event("history-gone", prefix=prefix, after=self.state.at)
                 return await self._scan()
             self._lost(result.reason)
-            return Outcome.NONE
+            return rounds.Outcome.NONE
         self._note_read("watch", asked, result.changes, result.waited)
         self.state.take_changes(result, asked, watch_seconds)
         self.watch_seconds = NEWS_WATCH_SECONDS if result.changes else WATCH_SECONDS
@@ -300,15 +179,15 @@
         result = await services.vault.scan(services.adapter.OPERATOR_PREFIX)
         if isinstance(result, vault.Away):
             self._lost(result.reason)
-            return Outcome.NONE
+            return rounds.Outcome.NONE
         asked = services.elapsed() - result.age
         self._note_read("scan", asked, result.items, result.waited)
         news = self.state.take_scan(result, asked)
         self._answered()
         self.scan_due = news and services.elapsed() - asked > SLOW_READ_SECONDS
-        if self.scan_due and self.place.reads:
+        if self.scan_due and self.sources.place.reads:
             await asyncio.sleep(PAUSE_SECONDS)
-        return Outcome.FRESH
+        return rounds.Outcome.FRESH
 
     def _lost(self, reason):
         """Note that the store did not answer."""
@@ -319,7 +198,7 @@
             services.log.event("store-lost", prefix=prefix, reason=reason)
         services.registry.reachable.clear()
         rest = READER_REST_SECONDS
-        if not self.place.reads:
+        if not self.sources.place.reads:
             # Its sources answer and try the store themselves: many need not.
             self.misses += 1
             rest = min(STORE_REST_SECONDS, entry.RETRY_SECONDS[0] * 2**self.misses)
@@ -327,8 +206,7 @@
 
     def _answered(self):
         """Note that the store answered this proxy."""
-        self.unanswered.pop(self.services.settings.proxy.address, None)
-        self.state.note_unanswered(False)
+        self.sources.note_own(False)
         self._regained()
 
     def _regained(self):
--- /dev/null
+++ b/lentilrouter/proxy/rounds.py
@@ -0,0 +1,82 @@
+"""Try ways to become current, one after the other, until one brings a fresh proof.
+
+A step that has not brought one when its patience ends is not given up: the next goes on
+beside it, and the first that brings a fresh proof ends the round.
+"""
+
+import asyncio
+import dataclasses
+import enum
+
+
+class Outcome(enum.Enum):
+    """Tell what a way to become current led to.
+
+    ``OLD`` is an answer without a fresh proof, ``NONE`` no answer.
+    """
+
+    FRESH = "fresh"
+    OLD = "old"
+    NONE = "none"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Step:
+    """Hold one way to become current: ``run`` returns an ``Outcome``.
+
+    ``patience`` are the seconds before the next way is tried beside it; ``host`` is the
+    one that is asked, empty for the store.
+    """
+
+    run: object
+    patience: float
+    host: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ended:
+    """Carry the step that brought a fresh proof, if any.
+
+    ``missed`` are the steps without an answer: none came, or not in time.
+    """
+
+    fresh: Step | None
+    missed: list
+
+
+async def run(steps):
+    """Run steps until one brings a fresh proof or all have ended; return ``Ended``."""
+    running, missed = {}, []
+    try:
+        for step in steps:
+            running[asyncio.create_task(step.run())] = step
+            fresh = await _first_fresh(running, missed, step.patience)
+            if fresh is not None:
+                return Ended(fresh, [*missed, *running.values()])
+        fresh = await _first_fresh(running, missed, None)
+        return Ended(fresh, [*missed, *running.values()])
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+
+async def _first_fresh(running, missed, seconds):
+    """Return the first step with a fresh proof, ``None`` if all end or time is up."""
+    loop = asyncio.get_running_loop()
+    end = None if seconds is None else loop.time() + seconds
+    while running:
+        left = None if end is None else end - loop.time()
+        if left is not None and left <= 0:
+            return None
+        done, _ = await asyncio.wait(
+            running, timeout=left, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            step = running.pop(task)
+            outcome = task.result()
+            if outcome is Outcome.FRESH:
+                return step
+            if outcome is Outcome.NONE:
+                missed.append(step)
+    return None
--- /dev/null
+++ b/lentilrouter/proxy/sources.py
@@ -0,0 +1,95 @@
+"""Know this proxy's place in its failure domain, and which proxies it may ask.
+
+A proxy that did not answer is passed over for a while. One that the store does not
+answer, while it answers others, leaves reading to the next.
+"""
+
+from lentilrouter.proxy import readers
+
+SHUNNED_SECONDS = 3.0  # a proxy that did not answer is asked again after that
+UNANSWERED_SECONDS = 3.0  # by the store, after which a proxy tries to read it again
+TOLD_SECONDS = 10.0  # others let it pass longer: they hear no more of it meanwhile
+
+
+class Sources:
+    """Hold the ``Place`` of this proxy.
+
+    ``services`` gives state, directory, settings, clock and log. ``shunned`` and
+    ``unanswered`` map hosts to the time until which they count as that.
+    """
+
+    __slots__ = (
+        "services",
+        "place",
+        "chosen_for",
+        "shunned",
+        "unanswered",
+        "turns",
+    )
+
+    def __init__(self, services):
+        self.services = services
+        self.place = readers.Place(True, ())
+        self.chosen_for = None
+        self.shunned = {}
+        self.unanswered = {}
+        self.turns = 0
+
+    def choose(self):
+        """Choose the place anew if the targets known, or what they are, changed."""
+        services, now = self.services, self.services.clock()
+        self.shunned = _later(self.shunned, now)
+        self.unanswered = _later(self.unanswered, now)
+        proxy = services.settings.proxy
+        services.state.note_unanswered(proxy.address in self.unanswered)
+        shunned, unanswered = frozenset(self.shunned), frozenset(self.unanswered)
+        chosen_for = (services.directory.changes, shunned, unanswered)
+        if chosen_for == self.chosen_for:
+            return
+        self.chosen_for = chosen_for
+        targets = [
+            target
+            for target in services.directory.by_host.values()
+            if target.domain == proxy.domain
+            and target.open
+            and target.host not in shunned
+        ]
+        self.place = readers.choose(proxy.address, targets, unanswered)
+
+    def in_turn(self):
+        """Return the targets to ask, begun with another one each time.
+
+        So one which has no news, being cut off, does not hold this proxy up.
+        """
+        targets = self.place.sources
+        self.turns += 1
+        turn = self.turns % len(targets)
+        return targets[turn:] + targets[:turn]
+
+    def shun(self, host):
+        """Pass over a host that did not answer."""
+        self.shunned[host] = self.services.clock() + SHUNNED_SECONDS
+
+    def note(self, host, unanswered):
+        """Note whether the store answers the proxy of another host."""
+        if unanswered:
+            self.unanswered[host] = self.services.clock() + TOLD_SECONDS
+        else:
+            self.unanswered.pop(host, None)
+
+    def note_own(self, unanswered):
+        """Note whether the store answers others but not this proxy."""
+        services = self.services
+        host = services.settings.proxy.address
+        if not unanswered:
+            self.unanswered.pop(host, None)
+        else:
+            if not services.state.unanswered:
+                services.log.event("store-answers-others", reads=self.place.reads)
+            self.unanswered[host] = services.clock() + UNANSWERED_SECONDS
+        services.state.note_unanswered(unanswered)
+
+
+def _later(times, now):
+    """Return the entries whose time has not come yet."""
+    return {host: until for host, until in times.items() if until > now}
--- /dev/null
+++ b/tests/proxy/test_rounds.py
@@ -0,0 +1,65 @@
+"""How steps to become current are tried one after the other."""
+
+import asyncio
+import unittest
+
+from lentilrouter.proxy import rounds
+
+
+class RoundTests(unittest.IsolatedAsyncioTestCase):
+    """Run steps that end as told."""
+
+    def setUp(self):
+        self.begun = []
+        self.cancelled = []
+
+    def step(self, name, outcome, seconds=0.0, patience=0.05):
+        """Return a step that ends with an outcome after some seconds."""
+
+        async def run():
+            self.begun.append(name)
+            try:
+                await asyncio.sleep(seconds)
+            except asyncio.CancelledError:
+                self.cancelled.append(name)
+                raise
+            return outcome
+
+        return rounds.Step(run, patience, name)
+
+    async def test_fresh_proof_ends_the_round_before_the_next_step(self):
+        usual = self.step("a", rounds.Outcome.FRESH)
+        ended = await rounds.run([usual, self.step("b", rounds.Outcome.FRESH)])
+        self.assertEqual(ended, rounds.Ended(usual, []))
+        self.assertEqual(self.begun, ["a"])
+
+    # Guards against: a slow way that is given up, and its answer with it, though the
+    # next way has none.
+    async def test_overdue_step_goes_on_beside_the_next(self):
+        slow = self.step("a", rounds.Outcome.FRESH, seconds=0.15)
+        none = self.step("b", rounds.Outcome.NONE)
+        ended = await rounds.run([slow, none])
+        self.assertEqual(ended, rounds.Ended(slow, [none]))
+
+    async def test_step_that_is_overdue_as_another_is_fresh_is_missed_and_ends(self):
+        silent = self.step("a", rounds.Outcome.FRESH, seconds=60.0)
+        fresh = self.step("b", rounds.Outcome.FRESH)
+        ended = await rounds.run([silent, fresh])
+        self.assertEqual(ended, rounds.Ended(fresh, [silent]))
+        self.assertEqual(self.cancelled, ["a"])
+
+    # Guards against: a proxy that answers, though it has no fresh proof, and is passed
+    # over like one that does not answer.
+    async def test_round_without_a_fresh_proof_names_only_steps_without_an_answer(self):
+        old = self.step("a", rounds.Outcome.OLD)
+        none = self.step("b", rounds.Outcome.NONE)
+        self.assertEqual(await rounds.run([old, none]), rounds.Ended(None, [none]))
+
+    async def test_cancelled_round_ends_its_steps(self):
+        silent = self.step("a", rounds.Outcome.NONE, seconds=60.0, patience=60.0)
+        task = asyncio.create_task(rounds.run([silent]))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual(self.cancelled, ["a"])
