--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -27,7 +27,10 @@
     """Follow the operator's keys for ever.
 
     ``services`` gives vault, adapter, state, directory, peers, registry, settings,
-    clock, random and log.
+    clock, random and log. ``sources`` knows whom to ask; ``source`` is what the last
+    fresh proof came from, the store or a proxy. ``scan_due`` tells that a watch would
+    bring too much, ``misses`` counts scans without an answer since the last fresh
+    proof, and the store is not asked before ``rest_until`` if others can be.
     """
 
     __slots__ = (
