--- /dev/null
+++ b/tests/proxy/test_sources.py
@@ -0,0 +1,99 @@
+"""Whom a proxy asks for what the operator wrote, and how long it passes some over."""
+
+import types
+import unittest
+
+from lentilrouter.proxy import directory, sources
+from tests.proxy import doubles
+
+OWN = "10.0.0.1"
+SECOND = "10.0.0.2"
+THIRD = "10.0.0.3"
+FOURTH = "10.0.0.4"
+
+
+class SourcesTests(unittest.TestCase):
+    """Four hosts of a failure domain; those with lower numbers have faster links."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.told = []
+        self.lines = []
+        self.services = types.SimpleNamespace(
+            clock=lambda: self.now,
+            settings=doubles.settings(address=OWN, link_mbps=40.0),
+            directory=directory.Directory(),
+            state=types.SimpleNamespace(
+                unanswered=False, note_unanswered=self.told.append
+            ),
+            log=types.SimpleNamespace(event=lambda kind, **_: self.lines.append(kind)),
+        )
+        for number, host in enumerate((OWN, SECOND, THIRD, FOURTH)):
+            self.services.directory.put(self.target(host, 40.0 - number), 0.0)
+        self.sources = sources.Sources(self.services)
+        self.sources.choose()
+
+    def target(self, host, link_mbps):
+        return directory.Target(
+            f"i-{host}",
+            "ledger",
+            "v1",
+            "z1",
+            host,
+            f"{host}:1",
+            6,
+            True,
+            1,
+            link_mbps=link_mbps,
+        )
+
+    def asked(self):
+        """Return the hosts that this proxy may ask, in order."""
+        self.sources.choose()
+        return [target.host for target in self.sources.place.sources]
+
+    def test_host_with_the_fastest_link_reads_and_may_ask_the_next(self):
+        self.assertTrue(self.sources.place.reads)
+        self.assertEqual(self.asked(), [SECOND, THIRD])
+
+    # Guards against: a proxy that is passed over for ever, or asked again at once.
+    def test_host_that_did_not_answer_is_passed_over_for_a_while(self):
+        self.sources.shun(SECOND)
+        self.assertEqual(self.asked(), [THIRD, FOURTH])
+        self.now += sources.SHUNNED_SECONDS + 0.1
+        self.assertEqual(self.asked(), [SECOND, THIRD])
+
+    # Guards against: a reader that keeps its place though the store does not answer it
+    # (issue 16, question 7), or that never tries to read again.
+    def test_host_that_the_store_does_not_answer_leaves_reading_for_a_while(self):
+        self.sources.note_own(True)
+        self.assertEqual(self.lines, ["store-answers-others"])
+        self.assertEqual(self.asked(), [THIRD, SECOND])
+        self.assertFalse(self.sources.place.reads)
+        self.assertTrue(self.told[-1])
+        self.now += sources.UNANSWERED_SECONDS + 0.1
+        self.assertEqual(self.asked(), [SECOND, THIRD])
+        self.assertTrue(self.sources.place.reads)
+        self.assertFalse(self.told[-1])
+
+    def test_answer_of_the_store_gives_the_place_back_at_once(self):
+        self.sources.note_own(True)
+        self.asked()
+        self.sources.note_own(False)
+        self.asked()
+        self.assertTrue(self.sources.place.reads)
+
+    def test_what_another_proxy_tells_of_itself_holds_until_it_tells_otherwise(self):
+        self.sources.note(SECOND, True)
+        self.assertEqual(self.asked(), [THIRD, FOURTH])
+        self.sources.note(SECOND, False)
+        self.assertEqual(self.asked(), [SECOND, THIRD])
+        self.sources.note(SECOND, True)
+        self.now += sources.TOLD_SECONDS + 0.1
+        self.assertEqual(self.asked(), [SECOND, THIRD])
+
+    # Guards against: a proxy that asks first, each time, one which is cut off.
+    def test_each_is_asked_first_in_turn(self):
+        self.asked()
+        firsts = {self.sources.in_turn()[0].host for _ in range(2)}
+        self.assertEqual(firsts, {SECOND, THIRD})
