Show in the account of a call that the store answers others but not its proxy

It is named among the changes of belief now. test_proxy_that_the_store_does_not_answer_is_shown failed before, passes now. The proxy's code is unchanged.

--- a/lentilrouter/management/explain.py
+++ b/lentilrouter/management/explain.py
@@ -29,6 +29,7 @@
     "start": "the proxy started",
     "state-source": "the sheet is kept current another way",
     "stopping": "the proxy was told to stop",
+    "store-answers-others": "the store answers other proxies, but not this one",
     "store-lost": "the store stopped to answer",
     "store-regained": "the store answers again",
     "target": "news of the local target",
--- a/tests/management/test_explain.py
+++ b/tests/management/test_explain.py
@@ -105,6 +105,15 @@
         events = [(line.node, line.event) for line in self.account().around]
         self.assertEqual(events, [("n1", "store-lost"), ("n1", "peer-lost")])
 
+    # Guards against: a proxy that the store refuses, whose account of a call near that
+    # time does not say so.
+    def test_proxy_that_the_store_does_not_answer_is_shown(self):
+        kind = "store-answers-others"
+        refused = {"at": 19.2, "node": "n1", "event": kind, "reads": True}
+        lines, _ = explain.read(map(json.dumps, [*DAY, refused]))
+        events = {(line.node, line.event) for line in explain.account(lines, ID).around}
+        self.assertIn(("n1", kind), events)
+
     def test_left_out_lines_are_said(self):
         self.assertIn(
             "4 lines were left out", "\n".join(explain.render(self.account()))
