--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -13,7 +13,7 @@
 
 from lentilrouter.conf import defaults
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import registry, sending
+from lentilrouter.proxy import directory, registry, sending
 from standins import target, vault
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -88,6 +88,22 @@
     }
 
 
+def known_target(host, link_mbps=10.0, peer_port=1):
+    """Return a target on a host, as other proxies know it."""
+    return directory.Target(
+        f"i-{host}",
+        "ledger",
+        "v1",
+        "z1",
+        host,
+        f"{host}:{peer_port}",
+        6,
+        True,
+        1,
+        link_mbps=link_mbps,
+    )
+
+
 def free_ports(count):
     """Return ports that nothing listens on, each only once in a process."""
     return list(itertools.islice(filter(is_free, PORTS), count))
--- a/tests/proxy/test_readers.py
+++ b/tests/proxy/test_readers.py
@@ -3,19 +3,14 @@
 import random
 import unittest
 
-from lentilrouter.proxy import directory, readers
-
-
-def target(host, link_mbps=10.0):
-    """Return a target on a host."""
-    return directory.Target(
-        "i", "ledger", "v1", "z1", host, f"{host}:1", 6, True, 1, link_mbps=link_mbps
-    )
+from lentilrouter.proxy import readers
+from tests.proxy import doubles
 
 
 def domain(count):
     """Return the targets of a failure domain."""
-    return [target(f"10.0.{number // 250}.{number % 250}") for number in range(count)]
+    hosts = [f"10.0.{number // 250}.{number % 250}" for number in range(count)]
+    return [doubles.known_target(host) for host in hosts]
 
 
 class ChooseTests(unittest.TestCase):
@@ -72,7 +67,8 @@
         self.assertTrue(readers.choose(few[0].host, few, both).reads)
 
     def test_fastest_links_read(self):
-        fast = [target("10.9.0.1", 200.0), target("10.9.0.2", 100.0)]
+        links = {"10.9.0.1": 200.0, "10.9.0.2": 100.0}
+        fast = [doubles.known_target(host, mbps) for host, mbps in links.items()]
         places = self.places([*domain(20), *fast])
         self.assertTrue(all(places[each.host].reads for each in fast))
 
--- a/tests/proxy/test_reading.py
+++ b/tests/proxy/test_reading.py
@@ -173,7 +173,11 @@
             Node(f"127.9.0.{number}", address, links[number - 1])
             for number in range(1, self.count + 1)
         ]
-        targets = [self.target(node, peer_port) for node in self.nodes]
+        hosts = [node.settings.proxy for node in self.nodes]
+        targets = [
+            doubles.known_target(host.address, host.link_mbps, peer_port)
+            for host in hosts
+        ]
         for node in self.nodes:
             for target in targets:
                 node.directory.put(target, 0.0)
@@ -196,21 +200,6 @@
             node.client.close()
             node.peers.close()
 
-    def target(self, node, peer_port):
-        host = node.settings.proxy.address
-        return directory.Target(
-            f"i-{host}",
-            "ledger",
-            "v1",
-            "z1",
-            host,
-            f"{host}:{peer_port}",
-            6,
-            True,
-            1,
-            link_mbps=node.settings.proxy.link_mbps,
-        )
-
     def change(self):
         """Write the next version as the operator does: one route differs."""
         self.version += 1
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -29,24 +29,11 @@
             log=types.SimpleNamespace(event=lambda kind, **_: self.lines.append(kind)),
         )
         for number, host in enumerate((OWN, SECOND, THIRD, FOURTH)):
-            self.services.directory.put(self.target(host, 40.0 - number), 0.0)
+            target = doubles.known_target(host, 40.0 - number)
+            self.services.directory.put(target, 0.0)
         self.sources = sources.Sources(self.services)
         self.sources.choose()
 
-    def target(self, host, link_mbps):
-        return directory.Target(
-            f"i-{host}",
-            "ledger",
-            "v1",
-            "z1",
-            host,
-            f"{host}:1",
-            6,
-            True,
-            1,
-            link_mbps=link_mbps,
-        )
-
     def asked(self):
         """Return the hosts that this proxy may ask, in order."""
         self.sources.choose()
