--- a/lentilrouter/management/explain.py
+++ b/lentilrouter/management/explain.py
@@ -26,6 +26,7 @@
     "sheet-unfit": "a difference did not lead to a whole sheet",
     "source-lost": "a proxy that was asked for the sheet did not answer",
     "source-old": "a proxy that was asked for the sheet had no fresh proof",
+    "source-passed-over": "a proxy asked for the sheet gave no answer in time",
     "start": "the proxy started",
     "state-source": "the sheet is kept current another way",
     "stopping": "the proxy was told to stop",
--- a/lentilrouter/proxy/sources.py
+++ b/lentilrouter/proxy/sources.py
@@ -67,7 +67,10 @@
         return targets[turn:] + targets[:turn]
 
     def shun(self, host):
-        """Pass over a host that did not answer."""
+        """Pass over a host that did not answer, or not in time."""
+        self.services.log.event(
+            "source-passed-over", host=host, seconds=SHUNNED_SECONDS
+        )
         self.shunned[host] = self.services.clock() + SHUNNED_SECONDS
 
     def note(self, host, unanswered):
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -46,6 +46,7 @@
     # Guards against: a proxy that is passed over for ever, or asked again at once.
     def test_host_that_did_not_answer_is_passed_over_for_a_while(self):
         self.sources.shun(SECOND)
+        self.assertEqual(self.lines, ["source-passed-over"])
         self.assertEqual(self.asked(), [THIRD, FOURTH])
         self.now += sources.SHUNNED_SECONDS + 0.1
         self.assertEqual(self.asked(), [SECOND, THIRD])
