Count a step of a round as missed only when its own time has run out

What callers saw: nothing by itself. A proxy that answers was passed over for 3 s, or 'the store answers others, but not this proxy' was believed and told to others.

Cause: the first fresh proof ended the round, and every step still at work counted as one without an answer, also one begun a moment before.

Evidence: test_step_that_is_not_overdue_as_another_is_fresh_is_not_missed failed before (the second step was among the missed).

Change: each step has its own time; what is at work within it is no longer missed.

--- a/lentilrouter/proxy/rounds.py
+++ b/lentilrouter/proxy/rounds.py
@@ -37,7 +37,8 @@
 class Ended:
     """Carry the step that brought a fresh proof, if any.
 
-    ``missed`` are the steps without an answer: none came, or not in time.
+    ``missed`` are the steps without an answer: none came, or not in time. One whose
+    patience had not ended as another step was fresh is not among them.
     """
 
     fresh: Step | None
@@ -46,25 +47,33 @@
 
 async def run(steps):
     """Run steps until one brings a fresh proof or all have ended; return ``Ended``."""
-    running, missed = {}, []
+    loop = asyncio.get_running_loop()
+    running, overdue, missed = {}, {}, []
     try:
         for step in steps:
-            running[asyncio.create_task(step.run())] = step
-            fresh = await _first_fresh(running, missed, step.patience)
+            task = asyncio.create_task(step.run())
+            running[task], overdue[task] = step, loop.time() + step.patience
+            fresh = await _first_fresh(running, missed, overdue[task])
             if fresh is not None:
-                return Ended(fresh, [*missed, *running.values()])
-        fresh = await _first_fresh(running, missed, None)
-        return Ended(fresh, [*missed, *running.values()])
+                break
+        else:
+            fresh = await _first_fresh(running, missed, None)
+        now = loop.time()
+        silent = [
+            step
+            for task, step in running.items()
+            if not task.done() and overdue[task] <= now
+        ]
+        return Ended(fresh, [*missed, *silent])
     finally:
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
 
-async def _first_fresh(running, missed, seconds):
+async def _first_fresh(running, missed, end):
     """Return the first step with a fresh proof, ``None`` if all end or time is up."""
     loop = asyncio.get_running_loop()
-    end = None if seconds is None else loop.time() + seconds
     while running:
         left = None if end is None else end - loop.time()
         if left is not None and left <= 0:
--- a/tests/proxy/test_rounds.py
+++ b/tests/proxy/test_rounds.py
@@ -48,6 +48,14 @@
         self.assertEqual(ended, rounds.Ended(fresh, [silent]))
         self.assertEqual(self.cancelled, ["a"])
 
+    # Guards against: a proxy that answers, or the store, that is taken for silent since
+    # it was asked a moment before another one answered (issue 16, question 9).
+    async def test_step_that_is_not_overdue_as_another_is_fresh_is_not_missed(self):
+        late = self.step("a", rounds.Outcome.FRESH, seconds=0.1)
+        begun = self.step("b", rounds.Outcome.FRESH, seconds=60.0, patience=60.0)
+        self.assertEqual(await rounds.run([late, begun]), rounds.Ended(late, []))
+        self.assertEqual(self.cancelled, ["b"])
+
     # Guards against: a proxy that answers, though it has no fresh proof, and is passed
     # over like one that does not answer.
     async def test_round_without_a_fresh_proof_names_only_steps_without_an_answer(self):
