Move the proxies of a test's failure domain into a module of their own

tests/proxy/test_reading.py had grown to 398 lines, half of them the test double that several test classes share.

--- /dev/null
+++ b/tests/proxy/domain.py
@@ -0,0 +1,199 @@
+"""Proxies of one failure domain in one process, each with a link of its own."""
+
+import asyncio
+import collections
+import random
+import time
+import types
+import unittest
+
+from lentilrouter.core import clock
+from lentilrouter.platform import sheets as adapter
+from lentilrouter.platform import store
+from lentilrouter.proxy import (
+    answering,
+    counters,
+    directory,
+    holding,
+    moves,
+    operator_state,
+    reading,
+    registry,
+    sending,
+    serving,
+    sheets,
+)
+from lentilrouter.proxy import vault as product_vault
+from standins import vault
+from tests.proxy import doubles
+
+STEP_SECONDS = 0.05
+ROUTES = 20
+CUT_OFF_SECONDS = 4.0  # for a host that hears of the store only from others
+
+
+class Vault(product_vault.Vault):
+    """Reach the stand-in over a link of its own, which may be slow or cut."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.cut = False
+        self.refused = False
+        self.bytes_per_second = None
+        self.calls = 0
+        self.scans = 0
+        self.bytes = 0
+
+    async def scan(self, prefix):
+        self.scans += 1
+        result = await self.reached(self.inner.scan(prefix))
+        return await self.carried(result, getattr(result, "items", ()))
+
+    async def watch(self, prefix, after, seconds):
+        result = await self.reached(self.inner.watch(prefix, after, seconds))
+        return await self.carried(result, getattr(result, "changes", ()))
+
+    async def reached(self, call):
+        self.calls += 1
+        if self.refused:
+            call.close()
+            return product_vault.Away("status 503")
+        if self.cut:
+            call.close()
+            await asyncio.sleep(1.5)
+            return product_vault.Away("cut")
+        return await call
+
+    async def carried(self, result, changes):
+        size = sum(len(getattr(change, "value", b"")) for change in changes)
+        self.bytes += size
+        if self.bytes_per_second:
+            await asyncio.sleep(size / self.bytes_per_second)
+        return result
+
+
+class Node:
+    """Hold what one proxy needs to follow the operator's keys and to be asked."""
+
+    def __init__(self, host, address, link_mbps):
+        self.settings = doubles.settings(address=host, link_mbps=link_mbps)
+        self.clock = time.monotonic
+        self.elapsed = clock.elapsed
+        self.random = random.Random(host)
+        self.adapter = adapter
+        self.holder = holding.Holder()
+        self.directory = directory.Directory()
+        self.bases = moves.Bases()
+        self.counters = counters.Counters()
+        self.lines = []
+        self.log = types.SimpleNamespace(event=self.note, request=self.note)
+        belief = types.SimpleNamespace(target=None)
+        self.hosting = types.SimpleNamespace(belief=belief, stopping=False)
+        self.client = sending.Client()
+        self.peers = sending.Client()
+        self.vault = Vault(store.PlatformVault(self.client, address, 1.0))
+        self.registry = registry.Registry(self)
+        self.orders = []
+        self.state = operator_state.OperatorState(self, self.orders.append)
+        self.reading = reading.Reading(self)
+        self.silent = False
+        answerer = answering.Answerer(self)
+
+        async def answer(request):
+            if self.silent:
+                await asyncio.sleep(3600.0)
+            return await answerer.handle(request)
+
+        self.server = serving.Server(answer, sheets.Limits, None, None)
+        self.following = None
+
+    def note(self, kind, /, *rest, **fields):
+        """Keep a line of the log."""
+        self.lines.append((kind, fields))
+
+    def held(self):
+        """Return the version in force, 0 for none."""
+        return self.state.version()
+
+    def stop(self):
+        """End the proxy's work, and its answers, as if its host were gone."""
+        self.silent = True
+        self.following.cancel()
+
+
+class DomainCase(unittest.IsolatedAsyncioTestCase):
+    """Run proxies of one failure domain; the first two have the fastest links."""
+
+    count = 6
+
+    async def asyncSetUp(self):
+        self.store = vault.VaultServer()
+        store_port, peer_port = doubles.free_ports(2)
+        address = f"127.0.0.1:{store_port}"
+        await self.store.start(address)
+        self.addCleanup(self.store.close)
+        self.specs = [doubles.route(f"/r{number}/") for number in range(ROUTES)]
+        self.version = 0
+        self.stored = {}
+        self.change()
+        links = [200.0, 200.0] + [5.0] * (self.count - 2)
+        self.nodes = [
+            Node(f"127.9.0.{number}", address, links[number - 1])
+            for number in range(1, self.count + 1)
+        ]
+        hosts = [node.settings.proxy for node in self.nodes]
+        targets = [
+            doubles.known_target(host.address, host.link_mbps, peer_port)
+            for host in hosts
+        ]
+        for node in self.nodes:
+            for target in targets:
+                node.directory.put(target, 0.0)
+            await node.server.start(f"{node.settings.proxy.address}:{peer_port}")
+            node.following = asyncio.create_task(node.reading.follow())
+        async with asyncio.timeout(10.0):
+            while min(node.held() for node in self.nodes) < self.version:
+                await asyncio.sleep(STEP_SECONDS)
+        await asyncio.sleep(1.0)
+
+    async def asyncTearDown(self):
+        for node in self.nodes:
+            node.following.cancel()
+            node.server.close()
+        tasks = [node.following for node in self.nodes]
+        ended = await asyncio.gather(*tasks, return_exceptions=True)
+        kinds = {type(error) for error in ended}
+        self.assertEqual(kinds, {asyncio.CancelledError})
+        for node in self.nodes:
+            node.client.close()
+            node.peers.close()
+
+    def change(self):
+        """Write the next version as the operator does: one route differs."""
+        self.version += 1
+        self.specs[self.version % ROUTES]["timeout_s"] = 1.0 + self.version
+        value = doubles.config(self.version, *self.specs)
+        self.store.put(adapter.CONFIG_KEY, value)
+        self.stored[self.version] = time.monotonic()
+
+    async def until_all_have_it(self, nodes, seconds):
+        """Wait until proxies have the newest version; fail after so many seconds."""
+        while min(node.held() for node in nodes) < self.version:
+            late = time.monotonic() - self.stored[self.version]
+            held = collections.Counter(node.held() for node in nodes)
+            self.assertLess(late, seconds, f"version {self.version}: {held}")
+            await asyncio.sleep(STEP_SECONDS)
+
+    async def latest_delay(self, nodes):
+        """Write a version; return the seconds until the last of the proxies has it."""
+        self.change()
+        await self.until_all_have_it(nodes, CUT_OFF_SECONDS)
+        return time.monotonic() - self.stored[self.version]
+
+    def assert_same(self, nodes):
+        """Check that all hold what the operator wrote, to the last route."""
+        item = self.store.value(adapter.CONFIG_KEY)
+        whole = adapter.read_sheet(item)
+        for node in nodes:
+            self.assertEqual(node.holder.sheet.digest, whole.digest)
+            self.assertEqual(node.holder.sheet.routes, whole.routes)
--- a/tests/proxy/test_reading.py
+++ b/tests/proxy/test_reading.py
@@ -1,39 +1,19 @@
 """How a version gets from the store to every proxy, and from one to the others."""
 
 import asyncio
-import collections
 import random
 import time
-import types
 import unittest
 
 from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
-from lentilrouter.platform import store
-from lentilrouter.proxy import (
-    answering,
-    counters,
-    directory,
-    holding,
-    moves,
-    operator_state,
-    reading,
-    registry,
-    sending,
-    serving,
-    sheets,
-)
+from lentilrouter.proxy import reading
 from lentilrouter.proxy import vault as product_vault
-from standins import vault
-from tests.proxy import doubles
+from tests.proxy import domain, doubles
 
 IN_FORCE_SECONDS = 2.0  # the shortest bound that the platform's sites set
 SLOW_IN_FORCE_SECONDS = 2.5  # the bound of sites with links of 5 and 10 Mbit/s
 LONG_SCAN_SECONDS = 0.6  # for 137 kB on 5 Mbit/s beside as much traffic
-CUT_OFF_SECONDS = 4.0  # for a host that hears of the store only from others
-STEP_SECONDS = 0.05
-ROUTES = 20
-CONFIG_CALLS = ("/v1/kv-range", "/v1/kv-watch")
 
 
 class SharedStoreTests(unittest.IsolatedAsyncioTestCase):
@@ -46,7 +26,7 @@
     # Guards against: every proxy reads the whole configuration for each change, and the
     # last one acts on an older version for longer than the bound (issue 16, CONFIG).
     async def test_version_is_in_force_in_time_whatever_the_number_of_proxies(self):
-        specs = [doubles.route(f"/r{number}/") for number in range(ROUTES)]
+        specs = [doubles.route(f"/r{number}/") for number in range(domain.ROUTES)]
         stand_in, key = self.mesh.store, adapter.CONFIG_KEY
         stand_in.put(key, doubles.config(1, *specs))
         await self.mesh.start(6)
@@ -63,177 +43,10 @@
             pairs = zip(missing, answers, strict=True)
             missing = [machine for machine, answer in pairs if answer.status == 404]
             self.assertLess(time.monotonic() - stored, IN_FORCE_SECONDS, len(missing))
-            await asyncio.sleep(STEP_SECONDS)
+            await asyncio.sleep(domain.STEP_SECONDS)
 
 
-class Vault(product_vault.Vault):
-    """Reach the stand-in over a link of its own, which may be slow or cut."""
-
-    def __init__(self, inner):
-        self.inner = inner
-        self.cut = False
-        self.refused = False
-        self.bytes_per_second = None
-        self.calls = 0
-        self.scans = 0
-        self.bytes = 0
-
-    async def scan(self, prefix):
-        self.scans += 1
-        result = await self.reached(self.inner.scan(prefix))
-        return await self.carried(result, getattr(result, "items", ()))
-
-    async def watch(self, prefix, after, seconds):
-        result = await self.reached(self.inner.watch(prefix, after, seconds))
-        return await self.carried(result, getattr(result, "changes", ()))
-
-    async def reached(self, call):
-        self.calls += 1
-        if self.refused:
-            call.close()
-            return product_vault.Away("status 503")
-        if self.cut:
-            call.close()
-            await asyncio.sleep(1.5)
-            return product_vault.Away("cut")
-        return await call
-
-    async def carried(self, result, changes):
-        size = sum(len(getattr(change, "value", b"")) for change in changes)
-        self.bytes += size
-        if self.bytes_per_second:
-            await asyncio.sleep(size / self.bytes_per_second)
-        return result
-
-
-class Node:
-    """Hold what one proxy needs to follow the operator's keys and to be asked."""
-
-    def __init__(self, host, address, link_mbps):
-        self.settings = doubles.settings(address=host, link_mbps=link_mbps)
-        self.clock = time.monotonic
-        self.elapsed = clock.elapsed
-        self.random = random.Random(host)
-        self.adapter = adapter
-        self.holder = holding.Holder()
-        self.directory = directory.Directory()
-        self.bases = moves.Bases()
-        self.counters = counters.Counters()
-        self.lines = []
-        self.log = types.SimpleNamespace(event=self.note, request=self.note)
-        belief = types.SimpleNamespace(target=None)
-        self.hosting = types.SimpleNamespace(belief=belief, stopping=False)
-        self.client = sending.Client()
-        self.peers = sending.Client()
-        self.vault = Vault(store.PlatformVault(self.client, address, 1.0))
-        self.registry = registry.Registry(self)
-        self.orders = []
-        self.state = operator_state.OperatorState(self, self.orders.append)
-        self.reading = reading.Reading(self)
-        self.silent = False
-        answerer = answering.Answerer(self)
-
-        async def answer(request):
-            if self.silent:
-                await asyncio.sleep(3600.0)
-            return await answerer.handle(request)
-
-        self.server = serving.Server(answer, sheets.Limits, None, None)
-        self.following = None
-
-    def note(self, kind, /, *rest, **fields):
-        """Keep a line of the log."""
-        self.lines.append((kind, fields))
-
-    def held(self):
-        """Return the version in force, 0 for none."""
-        return self.state.version()
-
-    def stop(self):
-        """End the proxy's work, and its answers, as if its host were gone."""
-        self.silent = True
-        self.following.cancel()
-
-
-class DomainCase(unittest.IsolatedAsyncioTestCase):
-    """Run proxies of one failure domain; the first two have the fastest links."""
-
-    count = 6
-
-    async def asyncSetUp(self):
-        self.store = vault.VaultServer()
-        store_port, peer_port = doubles.free_ports(2)
-        address = f"127.0.0.1:{store_port}"
-        await self.store.start(address)
-        self.addCleanup(self.store.close)
-        self.specs = [doubles.route(f"/r{number}/") for number in range(ROUTES)]
-        self.version = 0
-        self.stored = {}
-        self.change()
-        links = [200.0, 200.0] + [5.0] * (self.count - 2)
-        self.nodes = [
-            Node(f"127.9.0.{number}", address, links[number - 1])
-            for number in range(1, self.count + 1)
-        ]
-        hosts = [node.settings.proxy for node in self.nodes]
-        targets = [
-            doubles.known_target(host.address, host.link_mbps, peer_port)
-            for host in hosts
-        ]
-        for node in self.nodes:
-            for target in targets:
-                node.directory.put(target, 0.0)
-            await node.server.start(f"{node.settings.proxy.address}:{peer_port}")
-            node.following = asyncio.create_task(node.reading.follow())
-        async with asyncio.timeout(10.0):
-            while min(node.held() for node in self.nodes) < self.version:
-                await asyncio.sleep(STEP_SECONDS)
-        await asyncio.sleep(1.0)
-
-    async def asyncTearDown(self):
-        for node in self.nodes:
-            node.following.cancel()
-            node.server.close()
-        tasks = [node.following for node in self.nodes]
-        ended = await asyncio.gather(*tasks, return_exceptions=True)
-        kinds = {type(error) for error in ended}
-        self.assertEqual(kinds, {asyncio.CancelledError})
-        for node in self.nodes:
-            node.client.close()
-            node.peers.close()
-
-    def change(self):
-        """Write the next version as the operator does: one route differs."""
-        self.version += 1
-        self.specs[self.version % ROUTES]["timeout_s"] = 1.0 + self.version
-        value = doubles.config(self.version, *self.specs)
-        self.store.put(adapter.CONFIG_KEY, value)
-        self.stored[self.version] = time.monotonic()
-
-    async def until_all_have_it(self, nodes, seconds):
-        """Wait until proxies have the newest version; fail after so many seconds."""
-        while min(node.held() for node in nodes) < self.version:
-            late = time.monotonic() - self.stored[self.version]
-            held = collections.Counter(node.held() for node in nodes)
-            self.assertLess(late, seconds, f"version {self.version}: {held}")
-            await asyncio.sleep(STEP_SECONDS)
-
-    async def latest_delay(self, nodes):
-        """Write a version; return the seconds until the last of the proxies has it."""
-        self.change()
-        await self.until_all_have_it(nodes, CUT_OFF_SECONDS)
-        return time.monotonic() - self.stored[self.version]
-
-    def assert_same(self, nodes):
-        """Check that all hold what the operator wrote, to the last route."""
-        item = self.store.value(adapter.CONFIG_KEY)
-        whole = adapter.read_sheet(item)
-        for node in nodes:
-            self.assertEqual(node.holder.sheet.digest, whole.digest)
-            self.assertEqual(node.holder.sheet.routes, whole.routes)
-
-
-class CalmTests(DomainCase):
+class CalmTests(domain.DomainCase):
     """Nothing fails."""
 
     # Guards against: bytes and calls for a change that grow with the number of proxies
@@ -281,7 +94,7 @@
             self.assertLess(oldest, reading.FRESH_SECONDS)
 
 
-class LossTests(DomainCase):
+class LossTests(domain.DomainCase):
     """Readers are lost in ways that nobody is told of."""
 
     # Guards against: proxies that wait for a reader whose host is gone without a word.
@@ -304,7 +117,7 @@
                 self.change()
                 others = self.nodes[cut + 1 :]
                 await self.until_all_have_it(others, IN_FORCE_SECONDS)
-                await self.until_all_have_it(self.nodes, CUT_OFF_SECONDS)
+                await self.until_all_have_it(self.nodes, domain.CUT_OFF_SECONDS)
 
     # Guards against: a reader that the store turns away at once, while others reach it,
     # and that asks again without a pause (125 calls a second seen, each priced).
@@ -318,7 +131,7 @@
             for _ in range(4):
                 self.change()
                 await self.until_all_have_it(self.nodes[count:], IN_FORCE_SECONDS)
-                await self.until_all_have_it(self.nodes, CUT_OFF_SECONDS)
+                await self.until_all_have_it(self.nodes, domain.CUT_OFF_SECONDS)
                 await asyncio.sleep(0.4)
             seconds = time.monotonic() - began
             for node in refused[:count]:
@@ -351,7 +164,7 @@
         began = time.monotonic()
         node.following = asyncio.create_task(node.reading.follow())
         while not node.vault.scans:
-            await asyncio.sleep(STEP_SECONDS)
+            await asyncio.sleep(domain.STEP_SECONDS)
             self.assertLess(time.monotonic() - began, 1.0)
 
     # Guards against: a version that waits for the rest of a domain after the store was
@@ -367,7 +180,7 @@
         self.assert_same(self.nodes)
 
 
-class SlowLinkTests(DomainCase):
+class SlowLinkTests(domain.DomainCase):
     """All but the readers have links on which the configuration takes long."""
 
     # Guards against: a domain whose readers are both gone, and whose others wait
