Name what a proxy does with one that gave no answer as its log does

shun became pass_over, as in the line source-passed-over; the times say what they are between. No logic changed: tests.proxy.test_sources, test_rounds and test_readers pass.

--- a/lentilrouter/proxy/reading.py
+++ b/lentilrouter/proxy/reading.py
@@ -70,7 +70,7 @@
         ended = await rounds.run([*retries, *self._steps()])
         for step in ended.missed:
             if step.host:
-                self.sources.shun(step.host)
+                self.sources.pass_over(step.host)
         if ended.fresh is not None:
             self._settle(ended)
         elif self.sources.place.reads:
--- a/lentilrouter/proxy/sources.py
+++ b/lentilrouter/proxy/sources.py
@@ -7,8 +7,8 @@
 
 from lentilrouter.proxy import readers
 
-SHUNNED_SECONDS = 3.0  # a proxy that did not answer is asked again after that
-RETRIES = 2  # proxies passed over that are asked again at a time
+ASK_AGAIN_SECONDS = 3.0  # between questions to a proxy that is passed over
+ASK_AGAIN_MOST = 2  # proxies that are asked again at a time
 UNANSWERED_SECONDS = 3.0  # by the store, after which a proxy tries to read it again
 TOLD_SECONDS = 10.0  # others let it pass longer: they hear no more of it meanwhile
 
@@ -16,16 +16,16 @@
 class Sources:
     """Hold the ``Place`` of this proxy.
 
-    ``services`` gives state, directory, settings, clock and log. ``shunned`` maps hosts
-    that did not answer to the time at which they are asked again, ``unanswered`` those
-    that the store does not answer to the time until which they count as that.
+    ``services`` gives state, directory, settings, clock and log. ``passed_over`` maps
+    hosts that did not answer to the time at which they are asked again, ``unanswered``
+    those that the store does not answer to the time until which they count as that.
     """
 
     __slots__ = (
         "services",
         "place",
         "chosen_for",
-        "shunned",
+        "passed_over",
         "unanswered",
         "turns",
     )
@@ -34,7 +34,7 @@
         self.services = services
         self.place = readers.Place(True, ())
         self.chosen_for = None
-        self.shunned = {}
+        self.passed_over = {}
         self.unanswered = {}
         self.turns = 0
 
@@ -42,12 +42,15 @@
         """Choose the place anew if the targets known, or what they are, changed."""
         services, now = self.services, self.services.clock()
         known = services.directory.by_host
-        self.shunned = {h: at for h, at in self.shunned.items() if h in known}
+        self.passed_over = {
+            host: at for host, at in self.passed_over.items() if host in known
+        }
         self.unanswered = _later(self.unanswered, now)
         proxy = services.settings.proxy
         services.state.note_unanswered(proxy.address in self.unanswered)
-        shunned, unanswered = frozenset(self.shunned), frozenset(self.unanswered)
-        chosen_for = (services.directory.changes, shunned, unanswered)
+        passed_over = frozenset(self.passed_over)
+        unanswered = frozenset(self.unanswered)
+        chosen_for = (services.directory.changes, passed_over, unanswered)
         if chosen_for == self.chosen_for:
             return
         self.chosen_for = chosen_for
@@ -56,7 +59,7 @@
             for target in known.values()
             if target.domain == proxy.domain
             and target.open
-            and target.host not in shunned
+            and target.host not in passed_over
         ]
         self.place = readers.choose(proxy.address, targets, unanswered)
 
@@ -70,23 +73,25 @@
         turn = self.turns % len(targets)
         return targets[turn:] + targets[:turn]
 
-    def shun(self, host):
+    def pass_over(self, host):
         """Pass over a host that did not answer, or not in time."""
-        if host not in self.shunned:
+        if host not in self.passed_over:
             self.services.log.event("source-passed-over", host=host)
-        self.shunned[host] = self.services.clock() + SHUNNED_SECONDS
+        self.passed_over[host] = self.services.clock() + ASK_AGAIN_SECONDS
 
     def take_due(self):
         """Return the targets passed over that are to be asked again now."""
         now, known = self.services.clock(), self.services.directory.by_host
-        due = [known[host] for host, at in self.shunned.items() if at <= now]
-        taken = readers.ranked(due, self.unanswered)[:RETRIES]
-        self.shunned.update({target.host: now + SHUNNED_SECONDS for target in taken})
+        due = [known[host] for host, at in self.passed_over.items() if at <= now]
+        taken = readers.ranked(due, self.unanswered)[:ASK_AGAIN_MOST]
+        self.passed_over.update(
+            {target.host: now + ASK_AGAIN_SECONDS for target in taken}
+        )
         return taken
 
     def note(self, host, unanswered):
         """Note an answer of another host, and whether the store answers its proxy."""
-        self.shunned.pop(host, None)
+        self.passed_over.pop(host, None)
         if unanswered:
             self.unanswered[host] = self.services.clock() + TOLD_SECONDS
         else:
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -50,15 +50,15 @@
     # Guards against: a silent proxy that others wait for again and again (issue 16,
     # question 8), and one that is passed over for ever.
     def test_host_that_did_not_answer_is_passed_over_until_it_answers(self):
-        self.sources.shun(SECOND)
+        self.sources.pass_over(SECOND)
         self.assertEqual(self.lines, ["source-passed-over"])
         for _ in range(3):
             self.assertEqual(self.due(), [])
             self.assertEqual(self.asked(), [THIRD, FOURTH])
-            self.now += sources.SHUNNED_SECONDS + 0.1
+            self.now += sources.ASK_AGAIN_SECONDS + 0.1
             self.assertEqual(self.asked(), [THIRD, FOURTH])
             self.assertEqual(self.due(), [SECOND])
-        self.sources.shun(SECOND)
+        self.sources.pass_over(SECOND)
         self.assertEqual(self.lines, ["source-passed-over"])
         self.sources.note(SECOND, False)
         self.assertEqual(self.asked(), [SECOND, THIRD])
@@ -67,13 +67,13 @@
     # Guards against: a round that asks all of a domain again after a host was cut off.
     def test_hosts_that_would_be_asked_first_are_asked_again_first(self):
         for host in (FOURTH, SECOND, THIRD):
-            self.sources.shun(host)
-        self.now += sources.SHUNNED_SECONDS + 0.1
+            self.sources.pass_over(host)
+        self.now += sources.ASK_AGAIN_SECONDS + 0.1
         self.assertEqual(self.asked(), [])
         self.assertEqual([self.due(), self.due()], [[SECOND, THIRD], [FOURTH]])
 
     def test_host_that_is_entered_anew_is_not_passed_over(self):
-        self.sources.shun(SECOND)
+        self.sources.pass_over(SECOND)
         target = self.services.directory.remove(SECOND)
         self.assertEqual(self.asked(), [THIRD, FOURTH])
         self.services.directory.put(target, self.now)
