Do not pass over a host for one question when it answered another

What callers saw: nothing by itself; a proxy that answers was left out for 3 s and more.

Cause: a question that was overdue counted against its host though a later question of the same round was answered.

Evidence: test_step_to_a_host_that_answered_another_is_not_missed failed before.

--- a/lentilrouter/proxy/rounds.py
+++ b/lentilrouter/proxy/rounds.py
@@ -47,7 +47,8 @@
     """Carry the step that brought a fresh proof, if any.
 
     ``missed`` are the steps without an answer: none came, or not in time. One whose
-    patience had not ended as another step was fresh is not among them.
+    patience had not ended as another step was fresh is not among them, nor is one to a
+    host that answered another step.
     """
 
     fresh: Step | None
@@ -56,47 +57,79 @@
 
 async def run(steps):
     """Run steps until one brings a fresh proof or all have ended; return ``Ended``."""
-    loop = asyncio.get_running_loop()
-    running, overdue, missed = {}, {}, []
+    at_work = Round()
     try:
         for step in steps:
-            task = asyncio.create_task(step.run())
-            began = loop.time()
-            running[task], overdue[task] = step, began + step.patience
-            end = began + step.wait_seconds()
-            fresh = await _first_fresh(running, missed, end)
+            end = at_work.begin(step)
+            fresh = await at_work.first_fresh(end)
             if fresh is not None:
                 break
         else:
-            fresh = await _first_fresh(running, missed, None)
-        now = loop.time()
+            fresh = await at_work.first_fresh(None)
+        return Ended(fresh, at_work.missed())
+    finally:
+        await at_work.cancel()
+
+
+class Round:
+    """Hold the steps at work, when each is overdue, and what became of the others."""
+
+    __slots__ = ("loop", "running", "overdue", "failed", "answered")
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+        self.running = {}
+        self.overdue = {}
+        self.failed = []
+        self.answered = set()
+
+    def begin(self, step):
+        """Start a step; return the time at which the next way is tried."""
+        task = asyncio.create_task(step.run())
+        began = self.loop.time()
+        self.running[task] = step
+        self.overdue[task] = began + step.patience
+        return began + step.wait_seconds()
+
+    async def first_fresh(self, end):
+        """Return the first step with a fresh proof.
+
+        Return ``None`` if all have ended, or at a time if one is given.
+        """
+        while self.running:
+            left = None if end is None else end - self.loop.time()
+            if left is not None and left <= 0:
+                return None
+            done, _ = await asyncio.wait(
+                self.running, timeout=left, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                step = self.running.pop(task)
+                if self._ended(step, task.result()):
+                    return step
+        return None
+
+    def _ended(self, step, outcome):
+        """Note how a step ended; return whether its proof is fresh."""
+        if outcome is Outcome.NONE:
+            self.failed.append(step)
+        else:
+            self.answered.add(step.host)
+        return outcome is Outcome.FRESH
+
+    def missed(self):
+        """Return the steps without an answer from hosts that answered none."""
+        now = self.loop.time()
         silent = [
             step
-            for task, step in running.items()
-            if not task.done() and overdue[task] <= now
+            for task, step in self.running.items()
+            if not task.done() and self.overdue[task] <= now
         ]
-        return Ended(fresh, [*missed, *silent])
-    finally:
-        for task in running:
+        steps = [*self.failed, *silent]
+        return [step for step in steps if step.host not in self.answered]
+
+    async def cancel(self):
+        """End the steps at work."""
+        for task in self.running:
             task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
-
-
-async def _first_fresh(running, missed, end):
-    """Return the first step with a fresh proof, ``None`` if all end or time is up."""
-    loop = asyncio.get_running_loop()
-    while running:
-        left = None if end is None else end - loop.time()
-        if left is not None and left <= 0:
-            return None
-        done, _ = await asyncio.wait(
-            running, timeout=left, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            step = running.pop(task)
-            outcome = task.result()
-            if outcome is Outcome.FRESH:
-                return step
-            if outcome is Outcome.NONE:
-                missed.append(step)
-    return None
+        await asyncio.gather(*self.running, return_exceptions=True)
--- a/tests/proxy/test_rounds.py
+++ b/tests/proxy/test_rounds.py
@@ -14,7 +14,7 @@
         self.begun = []
         self.cancelled = []
 
-    def step(self, name, outcome, seconds=0.0, patience=0.05):
+    def step(self, name, outcome, seconds=0.0, patience=0.05, host=None):
         """Return a step that ends with an outcome after some seconds."""
 
         async def run():
@@ -26,7 +26,7 @@
                 raise
             return outcome
 
-        return rounds.Step(run, patience, name)
+        return rounds.Step(run, patience, name if host is None else host)
 
     async def test_fresh_proof_ends_the_round_before_the_next_step(self):
         usual = self.step("a", rounds.Outcome.FRESH)
@@ -57,6 +57,16 @@
         self.assertEqual(await rounds.run([late, begun]), rounds.Ended(late, []))
         self.assertEqual(self.cancelled, ["b"])
 
+    # Guards against: a proxy whose second question is answered, and that is passed over
+    # for the first one (issue 16, question 9).
+    async def test_step_to_a_host_that_answered_another_is_not_missed(self):
+        for outcome in (rounds.Outcome.FRESH, rounds.Outcome.OLD):
+            late = self.step("a", outcome, seconds=0.3, host="h")
+            answered = self.step("b", outcome, host="h")
+            fresh = self.step("c", rounds.Outcome.FRESH)
+            ended = await rounds.run([late, answered, fresh])
+            self.assertEqual(ended.missed, [])
+
     # Guards against: a way that is waited for though the proof at hand gets too old, or
     # that is taken for silent because it was not (issue 16, question 8).
     async def test_hurried_step_lets_the_next_begin_and_is_not_overdue_for_that(self):
