Reset the connection of a request that was given up

On a slow link the whole upload arrives after the caller left, and is run.

Change: a connection with a request in flight is reset as it is closed (SO_LINGER 0), so that unsent data is dropped here and data not read yet is dropped at the receiver. Idle connections close as before.

--- a/lentilrouter/proxy/connections.py
+++ b/lentilrouter/proxy/connections.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
+import socket
+import struct
 import time
 
 import httptools
@@ -17,6 +20,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # of one body; usual responses have a few KB
 DEFAULT_IDLE_SECONDS = 4.0  # targets close idle connections after a few seconds
 IDLE_MARGIN_SECONDS = 1.0  # an announced idle time is in whole seconds, rounded down
+# Socket option with which closing a connection resets it and drops its unsent data.
+RESET_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -218,8 +223,17 @@
             self.future.set_result(outcome)
 
     def discard(self):
-        """Close the connection for good and release its buffered data."""
+        """Close the connection for good and release its buffered data.
+
+        If a request is in flight, reset the connection: otherwise the kernel would
+        still send the rest of the request, long after it was given up.
+        """
         self.reusable = False
+        sock = self.transport.get_extra_info("socket")
+        if self.future is not None and sock is not None:
+            # The connection may be lost already.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(*RESET_ON_CLOSE)
         # The parser and this object form a reference cycle, so the data would stay in
         # memory until the garbage collector runs.
         self.message.reset()
