Count an old target whose proxy does not respond as at work

Cause: a steward took a missing report for no calls in flight. A move could end, and the platform stop the old targets, while calls still ran beside a slow or paused proxy.

Change: a target of another host that takes calls, as far as is known, and whose proxy does not respond counts as one call in flight. Its entry's removal bounds the wait.

--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import types
 
 import orjson
@@ -273,34 +274,38 @@
     async def _gather(self):
         """Return the summed evidence and a dict of calls in flight by version.
 
-        A target whose proxy doesn't respond adds its last known evidence, but no calls
-        in flight.
+        A target whose proxy doesn't respond adds its last known evidence. If it takes
+        calls, it also adds one call in flight: nobody knows that it has none.
         """
-        services = self.services
-        targets = list(services.directory.by_service.get(self.service, ()))
+        own = self.services.hosting
+        targets = list(self.services.directory.by_service.get(self.service, ()))
         reports = await asyncio.gather(
             *(self._request_report(target) for target in targets)
         )
-        own = services.hosting
+        busy = collections.Counter()
+        for target, report in zip(targets, reports, strict=True):
+            if report is None and self._may_be_at_work(target):
+                busy[target.version] += 1
         if (
             own.liveness.target is not None
             and own.liveness.target.service == self.service
         ):
             reports.append(build_report(own))
-        busy = {}
-        for report in reports:
-            if report is None:
-                continue
+        for report in filter(None, reports):
             self.evidence_by_target[report["id"]] = evidence.Evidence.from_json(
                 report["evidence"]
             )
-            version = report["version"]
-            busy[version] = busy.get(version, 0) + report["busy"]
+            busy[report["version"]] += report["busy"]
         total = evidence.Evidence()
         for part in self.evidence_by_target.values():
             total.add(part)
         return total, busy
 
+    def _may_be_at_work(self, target):
+        """Return whether another host's target takes calls, as far as is known."""
+        own = self.services.settings.proxy.address
+        return target.host != own and target.ready and target.open
+
     async def _request_report(self, target):
         """Return the report of a target's proxy, or ``None`` if there is none.
 
