Leave calls that span a stall of the proxy out of a move's evidence

Cause: a good version can be rolled back as slow after a host was paused. The proxy measures the run time of a call from its own clock, so the pause counts as run time of each call in flight.

Change: stalls.StallDetector finds times in which the process did not run, by the gap between two ticks; a call that spans one adds no evidence.

--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -23,7 +23,7 @@
     """Local target of the proxy: its liveness, its slots and the calls that run there.
 
     ``services`` provides settings, clock, log, random numbers, dialect, target client,
-    crashes, bases and two callbacks: ``target_changed`` publishes a change of the
+    crashes, bases, stalls and two callbacks: ``target_changed`` publishes a change of the
     target, ``report_crash`` records and broadcasts a request that was in flight when
     the target died.
 
@@ -264,7 +264,8 @@
             services.crashes.clear_call(request)
         elif isinstance(result, messages.Broken) and not result.started:
             outcome = await self._check_for_crash(outcome, request, target)
-        self._record_evidence(hop, target, outcome, ended)
+        if not services.stalls.has_stalled(now, ended):
+            self._record_evidence(hop, target, outcome, ended)
         return outcome
 
     def _interpret_result(self, result, target, seconds, id):
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -130,6 +130,7 @@
         swept_at = 0.0
         while True:
             now = services.clock()
+            services.stalls.tick(now)
             services.log.flush()
             services.hosting.check_heartbeats()
             if now - swept_at >= serving.SWEEP_SECONDS:
--- a/lentilrouter/proxy/services.py
+++ b/lentilrouter/proxy/services.py
@@ -26,6 +26,7 @@
     refreshing,
     registry,
     sending,
+    stalls,
     state_messages,
     stewarding,
 )
@@ -78,6 +79,7 @@
             store_client, settings.store.address, settings.store.timeout_seconds
         )
         self.crashes = crashing.Crashes()
+        self.stalls = stalls.StallDetector(clock())
         self.broadcasts = set()
         self.hosting = hosting.Hosting(self)
         self.registry = registry.Registry(self)
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -8,7 +8,7 @@
 from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
 from lentilrouter.platform import names
-from lentilrouter.proxy import crashing, hops, hosting, liveness
+from lentilrouter.proxy import crashing, hops, hosting, liveness, stalls
 from tests.proxy import doubles
 from tests.proxy.test_liveness import heartbeat
 
@@ -48,6 +48,7 @@
             dialect=names,
             target_client=self.target_client,
             crashes=crashing.Crashes(),
+            stalls=stalls.StallDetector(time.monotonic()),
             bases=types.SimpleNamespace(is_retired=lambda service, version: False),
             log=types.SimpleNamespace(
                 event=lambda *args, **fields: None,
