--- a/lentilrouter/conf/defaults.py
+++ b/lentilrouter/conf/defaults.py
@@ -199,6 +199,11 @@
     link_mbps: float = option(
         1000.0, help="bandwidth of the host's link in Mbit/s", low=0.001, high=1e6
     )
+    first_start: str = option(
+        "no",
+        help="whether all proxies start for the first time",
+        choices=("yes", "no"),
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -224,13 +229,13 @@
         1.0, help="longest wait for a response", low=0.05, high=60.0
     )
     lease_seconds: float = option(
-        6.0,
-        help="duration of the proxy's lease; without renewal its entry is removed",
+        2.0,
+        help="lease of the proxy that leads a move; without renewal another one leads",
         low=1,
         high=600,
     )
     watch_seconds: float = option(
-        20.0, help="longest wait of one watch", low=0.1, high=30.0
+        5.0, help="longest wait of one watch", low=0.1, high=30.0
     )
 
 
--- a/lentilrouter/platform/names.py
+++ b/lentilrouter/platform/names.py
@@ -6,6 +6,7 @@
 CALLER = b"x-caller"  # service that a request comes from
 PROOF = b"x-server-stamp"  # signature of the target that sent a response
 NOT_RUN = b"x-not-run"  # present if the target did not run the request
+TARGET_ID = b"x-instance-id"  # id of the target that sent a response to a health check
 LOAD = b"x-instance-load"  # of a target, see ``read_load``
 READY_PATH = "/v1/readyz"
 SETTINGS_VARIABLE = "LENTILROUTER_BOOT"  # environment variable: path of the settings
--- a/lentilrouter/platform/sheets.py
+++ b/lentilrouter/platform/sheets.py
@@ -41,7 +41,9 @@
         services, routes = {}, []
         for spec in _rows(document["services"]):
             name = spec["name"]
-            services[name] = sheets.Service(name, int(spec.get("max_conns", 100)))
+            health_path = _string(spec.get("health_path", ""))
+            connections = int(spec.get("max_conns", 100))
+            services[name] = sheets.Service(name, connections, health_path)
         for spec in _rows(document["routes"]):
             route = _read_route(spec["name"], spec)
             earlier = known.get(route.name)
--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -31,11 +31,15 @@
         self.calls = 0
         self.unfinished_pages = {}
 
-    async def scan(self, prefix):
-        """Read all items below a prefix by pages; return ``Scanned`` or ``Away``."""
+    async def scan(self, prefix, stale=False):
+        """Read all items below a prefix by pages; return ``Scanned`` or ``Away``.
+
+        With ``stale``, the items may be seconds old, and the call costs a tenth.
+        """
         items, after, first, waited = [], "", None, 0.0
+        options = {"prefix": prefix, **({"stale_read": 1} if stale else {})}
         while True:
-            query = {"prefix": prefix, **({"after": after} if after else {})}
+            query = {**options, **({"after": after} if after else {})}
             reply = await self._fetch_page(query)
             if reply.status != 200:
                 return kvstore.Away(reply.reason)
@@ -130,7 +134,8 @@
         if reply.status == 200:
             return kvstore.Written(reply.body["rev"])
         if reply.status == 412:
-            return kvstore.Conflict()
+            rows = reply.body.get("items") or ()
+            return kvstore.Conflict(tuple(_decode_item(row) for row in rows))
         if reply.status == 404:
             return kvstore.LeaseEnded()
         return kvstore.Away(reply.reason, unsure=reply.outcome_unknown)
--- a/lentilrouter/proxy/connections.py
+++ b/lentilrouter/proxy/connections.py
@@ -229,17 +229,22 @@
         still send the rest of the request, long after it was given up.
         """
         self.reusable = False
-        sock = self.transport.get_extra_info("socket")
-        if self.future is not None and sock is not None:
-            # The connection may be lost already.
-            with contextlib.suppress(OSError):
-                sock.setsockopt(*RESET_ON_CLOSE)
+        if self.future is not None and not self.transport.is_closing():
+            self._reset_on_close()
         # The parser and this object form a reference cycle, so the data would stay in
         # memory until the garbage collector runs.
         self.message.reset()
         response_limits.BUFFERED.release(self)
         self.transport.abort()
 
+    def _reset_on_close(self):
+        """Let the kernel drop unsent data and reset the connection once it closes."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            # The other side may have reset the connection meanwhile.
+            with contextlib.suppress(OSError):
+                sock.setsockopt(*RESET_ON_CLOSE)
+
     async def exchange(self, data, method, seconds, id=None, confirmation=None):
         """Send an encoded request and return an outcome within ``seconds``.
 
--- a/lentilrouter/proxy/deltas.py
+++ b/lentilrouter/proxy/deltas.py
@@ -36,7 +36,7 @@
             self.digest,
             [route.as_row() for route in self.routes],
             list(self.removed),
-            None if services is None else [[s.name, s.connections] for s in services],
+            None if services is None else [service.as_row() for service in services],
             None if limits is None else list(dataclasses.astuple(limits)),
         ]
 
@@ -52,7 +52,7 @@
     """Return the ``Delta`` in a decoded list; raise ``ValueError`` if malformed."""
     try:
         base, version, digest, routes, removed, services, limits = fields
-        names = [*removed, *(name for name, _ in services or ())]
+        names = [*removed, *(name for name, _, _ in services or ())]
         if [type(base), type(version), type(digest)] != [int, int, int] or not all(
             isinstance(name, str) for name in names
         ):
--- a/lentilrouter/proxy/entry.py
+++ b/lentilrouter/proxy/entry.py
@@ -1,163 +1,169 @@
-"""Keep this proxy's own entry in the store, bound to a lease."""
+"""Keep this proxy's own entry in the store."""
 
 import asyncio
 import dataclasses
 
-from lentilrouter.proxy import exchange, kvstore
+from lentilrouter.proxy import directory, exchange, kvstore, liveness
 
 OWN_PREFIX = "lentilrouter/"  # of all keys that proxies write
 TARGETS_PREFIX = OWN_PREFIX + "targets/"
 BASES_PREFIX = OWN_PREFIX + "bases/"
 RETRY_SECONDS = (0.3, 0.9)  # random, so that proxies don't all retry at the same time
-RENEWALS_PER_LEASE = 3  # renewals in the time of one lease
+# Greatest factor of the pause after repeated failures.
+BACKOFF_MAX = 4
 
 
 class OwnEntry:
-    """Write the entry of the local target, and renew the lease that keeps it stored.
-
-    ``scanned`` is set once the proxies' keys are known, ``reachable`` while the store
-    is available; ``on_available`` is called when it is available again. ``written`` is
-    the entry as last written, or ``None`` if the store doesn't have it. ``lease`` is 0
-    if there is none, ``lease_until`` the time by ``clock`` at which it expires.
-    ``dirty`` is set when the local target has changed or the entry was removed.
+    """Write the entry of the local target whenever it changes.
+
+    An entry is not bound to a lease: it stays while the store is unavailable, and while
+    this process restarts. It is removed by this proxy once its target has left for
+    good, or by another proxy if this host is gone (see ``pruning``).
+
+    ``entries`` is the replica of the proxies' keys, ``reachable`` is set while the
+    store is available. ``written`` is the entry as last written, or ``None`` if the
+    store doesn't have it. ``revision`` is that of its key, 0 if there is no such key:
+    each write expects it, so that a write whose response was lost cannot take effect
+    after a later one. ``dirty`` is set when the local target or the stored entry has
+    changed. ``failures`` counts the failed writes since the last one that succeeded.
     """
 
     __slots__ = (
         "services",
-        "scanned",
+        "entries",
         "reachable",
-        "on_available",
-        "store_failed",
-        "lease",
-        "lease_until",
         "dirty",
         "written",
+        "revision",
+        "failures",
     )
 
-    def __init__(self, services, scanned, reachable, on_available):
+    def __init__(self, services, entries, reachable):
         self.services = services
-        self.scanned = scanned
+        self.entries = entries
         self.reachable = reachable
-        self.on_available = on_available
-        self.store_failed = False
-        self.lease = 0
-        self.lease_until = 0.0
         self.dirty = asyncio.Event()
         self.written = None
+        self.revision = 0
+        self.failures = 0
 
     @property
     def key(self):
         """Return the key of this proxy's entry."""
         return TARGETS_PREFIX + self.services.settings.proxy.address
 
+    def note_stored(self, value, revision):
+        """Record that the store has an entry of this host.
+
+        ``value`` is the encoded entry. Raise ``ValueError`` if it is invalid.
+        """
+        self.revision = revision
+        self.written = _comparable(directory.decode(value))
+        self.dirty.set()
+
     def note_removed(self, revision):
         """Record that this proxy's entry was removed, so that it is written again."""
+        self.revision = 0
         if self.written is not None:
             self.services.log.event("own-entry-gone", revision=revision)
             self.written = None
             self.dirty.set()
 
+    def desired(self):
+        """Return the entry that this proxy should have in the store, or ``None``.
+
+        ``None`` also means that a stored entry should be removed. As long as no target
+        is known, the stored entry stays.
+        """
+        hosting = self.services.hosting
+        target = hosting.liveness.target
+        if target is None:
+            return self.written
+        if hosting.stopping and hosting.liveness.state is liveness.State.GONE:
+            return None
+        return _comparable(dataclasses.replace(target, open=not hosting.stopping))
+
     async def keep(self):
-        """Keep a lease and this proxy's entry current, forever."""
-        await self.scanned.wait()
+        """Keep this proxy's entry current, forever."""
+        await self.entries.known.wait()
         while True:
-            await self.reachable.wait()
-            pause = await self._keep_once()
             self.dirty.clear()
-            if self.written != self.desired() and pause > 0 and not self._lacks_lease():
+            if self.written == self.desired():
+                await self.dirty.wait()
                 continue
-            try:
-                async with asyncio.timeout(pause):
-                    await self.dirty.wait()
-            except TimeoutError:
+            await self.reachable.wait()
+            if await self.write():
+                self.failures = 0
                 continue
+            self.failures += 1
+            pause = self.services.random.uniform(*RETRY_SECONDS)
+            await asyncio.sleep(pause * min(self.failures, BACKOFF_MAX))
 
-    def _lacks_lease(self):
-        """Return whether there is no lease or it has expired."""
-        return self.lease == 0 or self.services.clock() > self.lease_until
-
-    def desired(self):
-        """Return the entry that this proxy should have in the store, or ``None``."""
-        target = self.services.hosting.liveness.target
-        if target is None:
-            return None
-        is_open = not self.services.hosting.stopping
-        return dataclasses.replace(target, sequence=0, open=is_open)
-
-    async def _keep_once(self):
-        """Renew or obtain the lease, and write the entry if it has changed.
+    async def write(self):
+        """Write, or remove, the entry as it should be; return whether that succeeded.
 
-        Return the seconds until the next call, unless the entry changes earlier.
-        """
-        services = self.services
-        store = services.settings.store
-        retry_seconds = services.random.uniform(*RETRY_SECONDS)
-        now = services.clock()
-        if self.lease and now >= self.lease_until - store.lease_seconds * (
-            1 - 1 / RENEWALS_PER_LEASE
-        ):
-            renewed = self._note_store_result(await services.store.renew(self.lease))
-            if isinstance(renewed, kvstore.Granted):
-                self.lease_until = now + renewed.seconds
-            elif isinstance(renewed, kvstore.LeaseEnded):
-                services.log.event("lease-ended", lease=self.lease)
-                self.lease, self.written = 0, None
-            else:
-                return retry_seconds
-        if not self.lease:
-            granted = self._note_store_result(
-                await services.store.grant(store.lease_seconds)
-            )
-            if not isinstance(granted, kvstore.Granted):
-                return retry_seconds
-            self.lease = granted.lease
-            self.lease_until = now + granted.seconds
-        entry = self.desired()
-        if entry is not None and entry != self.written:
-            if not await self.write(entry):
-                return retry_seconds
-            self.written = entry
-        return store.lease_seconds / RENEWALS_PER_LEASE
-
-    def _note_store_result(self, result):
-        """Record whether the store was available; return the result unchanged."""
-        if isinstance(result, kvstore.Away):
-            self.store_failed = True
-        elif self.store_failed:
-            self.store_failed = False
-            self.on_available()
-        return result
-
-    async def write(self, entry):
-        """Write and broadcast the entry; return whether the store accepted it.
-
-        Log the result, also that of a failure.
+        The result is logged, also that of a failure. A written entry is broadcast.
         """
-        services = self.services
-        target = services.hosting.liveness.target
-        value = dataclasses.replace(target, open=entry.open)
-        puts = [kvstore.Put(self.key, value.encode(), self.lease)]
-        expected = {}
-        if entry.service not in services.bases.base:
-            # The version of a service's first target becomes its base version.
-            key = BASES_PREFIX + entry.service
-            expected = {key: 0}
-            puts.append(kvstore.Put(key, entry.version.encode()))
-        result = await services.store.write(expected, puts)
+        services, entry = self.services, self.desired()
+        expected = {self.key: self.revision}
+        if entry is None:
+            result = await services.store.write(expected, [], [self.key])
+        else:
+            target = services.hosting.liveness.target
+            value = dataclasses.replace(target, open=entry.open).encode()
+            put = kvstore.Put(self.key, value)
+            result = await services.store.write(expected, [put])
         if isinstance(result, kvstore.Conflict):
-            result = await services.store.write({}, puts[:1])
-        if isinstance(result, kvstore.LeaseEnded):
-            self.lease = 0
-        if isinstance(result, kvstore.Written):
-            services.log.event(
-                "entry-written",
-                id=entry.id,
-                ready=entry.ready,
-                open=entry.open,
-                revision=result.revision,
-            )
-            item = kvstore.Item(self.key, puts[0].value, result.revision, self.lease)
-            services.broadcast(exchange.CATCH_UP_PATH, exchange.encode([item]))
+            return self._note_conflict(result)
+        if not isinstance(result, kvstore.Written):
+            services.log.event("entry-not-written", result=str(result))
+            return False
+        self.written = entry
+        if entry is None:
+            self.revision = 0
+            services.log.event("entry-removed", key=self.key, revision=result.revision)
+            self.entries.apply(kvstore.Removed(self.key, result.revision))
             return True
-        services.log.event("entry-not-written", result=str(result))
-        return False
+        self.revision = result.revision
+        services.log.event(
+            "entry-written",
+            id=entry.id,
+            ready=entry.ready,
+            open=entry.open,
+            revision=result.revision,
+        )
+        self._broadcast(kvstore.Item(self.key, value, result.revision))
+        return True
+
+    def _note_conflict(self, conflict):
+        """Record what the store has instead of the expected entry; return ``True``.
+
+        It may be an earlier write of this proxy whose response was lost. If it isn't
+        the desired entry, it is written again.
+        """
+        items = [item for item in conflict.items if item.key == self.key]
+        self.services.log.event(
+            "entry-conflict",
+            expected=self.revision,
+            found=items[0].revision if items else 0,
+        )
+        self.revision, self.written = 0, None
+        for item in items:
+            try:
+                self.note_stored(item.value, item.revision)
+            except ValueError as error:
+                self.services.log.event(
+                    "entry-refused", key=item.key, reason=str(error)
+                )
+            self._broadcast(item)
+        return True
+
+    def _broadcast(self, item):
+        """Record an item of the own key, and send it to all other proxies."""
+        self.entries.apply(item)
+        self.services.broadcast(exchange.CATCH_UP_PATH, exchange.encode([item]))
+
+
+def _comparable(target):
+    """Return a target without the fields that change with each heartbeat."""
+    return dataclasses.replace(target, sequence=0)
--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -1,41 +1,45 @@
-"""Follow the keys that the proxies write to the store: scan, then watch.
+"""Follow the keys that the proxies write to the store.
 
+A proxy scans these keys once, when it starts. After that only the proxies that read the
+store watch them; the others get the changes with the operator's state (``refreshing``).
 While the store is unavailable, the known state stays as it is.
 """
 
 import asyncio
 import contextlib
 
-from lentilrouter.proxy import entry, kvstore, views
+from lentilrouter.proxy import entry, kvstore, replicas
 
 # Pauses between reads, so that changes in quick succession come in one response: each
 # read is a call to the store. Proxies broadcast their own changes; only the failure of
-# a steward (the proxy that leads a move) during a move, and proxies that started at the
-# same time, must be seen in the store soon.
-PAUSE_SECONDS = 3.0
-URGENT_PAUSE_SECONDS = 1.0
-# Time after the start for which the short pause applies: one lease, after which the
-# leases of processes that ran before are renewed or have expired.
-STARTING_SECONDS = 6.0
+# a steward (the proxy that leads a move) during a move must be seen in the store soon.
+PAUSE_SECONDS = 2.0
+URGENT_PAUSE_SECONDS = 0.5
+# Longest time that a proxy of a new system looks for others before it reads the store
+# as one that is alone: time for their first heartbeats and entries.
+FIRST_START_SECONDS = 4.0
+FIRST_START_PAUSE_SECONDS = (0.6, 1.2)  # random, between two scans meanwhile
 
 
 class Follower:
     """Read the proxies' own keys and apply each change once, by rising revisions.
 
-    ``scanned`` is set after the first scan, ``reachable`` while the operator's keys can
-    be read from the store, by this proxy or by those that it asks. ``watch_timeout`` is
-    the timeout of the watch that runs, ``None`` without one. ``started`` is the time of
-    the start, ``unavailable_since`` the time since which the store is unavailable, both
-    by ``clock``. ``order_received`` is set when an order of a move arrives, and ends
-    the pause between reads.
+    ``entries`` is the replica of these keys. ``reachable`` is set while the operator's
+    keys can be read from the store, by this proxy or by those that it asks.
+    ``settled`` is set once this proxy knows others, or has looked for them: before,
+    every proxy would read the store. ``watch_timeout`` is the timeout of the watch that
+    runs, ``None`` without one. ``started`` is the time of the start,
+    ``unavailable_since`` the time since which the store is unavailable, both by
+    ``clock``. ``order_received`` is set when an order of a move arrives, and ends the
+    pause between reads.
     """
 
     __slots__ = (
         "services",
-        "view",
+        "entries",
         "unavailable_since",
-        "scanned",
         "reachable",
+        "settled",
         "watch_timeout",
         "started",
         "order_received",
@@ -43,11 +47,11 @@
 
     def __init__(self, services):
         self.services = services
-        self.view = views.View()
+        self.entries = replicas.Replica(self.apply_proxy_key)
         self.unavailable_since = None
-        self.scanned = asyncio.Event()
         self.reachable = asyncio.Event()
         self.reachable.set()
+        self.settled = asyncio.Event()
         self.watch_timeout = None
         self.started = services.clock()
         self.order_received = asyncio.Event()
@@ -60,49 +64,85 @@
         """Apply a change of a key that a proxy wrote."""
         raise NotImplementedError
 
+    async def write_bases(self):
+        """Store the base version of each service that has none."""
+        raise NotImplementedError
+
     async def follow(self):
-        """Scan and watch the proxies' keys until cancelled."""
+        """Scan the proxies' keys, and watch them while this proxy reads the store.
+
+        Run until cancelled.
+        """
+        await self._read_first()
+        self.settled.set()
+        reading = self.services.refresher.sources.reading
         while True:
+            await reading.wait()
             # While the store is unavailable, only the refresher retries it.
             await self.reachable.wait()
-            scanned = await self.services.store.scan(entry.OWN_PREFIX)
-            if isinstance(scanned, kvstore.Away):
-                await self._note_unavailable(scanned.reason)
-                continue
-            self._note_available()
-            self.view.apply_all(scanned.items, scanned.at, self.apply_proxy_key)
-            self.scanned.set()
-            await self._watch(scanned.at)
-
-    async def _watch(self, at):
-        """Watch until the store is unavailable or no longer has the changes.
-
-        A scan is due then.
+            await self._watch()
+
+    async def _read_first(self):
+        """Scan until the keys are known, and in a new system until others are.
+
+        They may also become known by a snapshot that another proxy sends.
         """
-        services = self.services
-        while True:
-            result = await self._watch_once(at)
-            if result is None:
-                services.log.event("watch-again", prefix=entry.OWN_PREFIX, after=at)
-                continue
-            if isinstance(result, kvstore.HistoryGone):
-                services.log.event("history-gone", prefix=entry.OWN_PREFIX, after=at)
-                return
-            if isinstance(result, kvstore.Away):
-                await self._note_unavailable(result.reason)
+        first_start = self.services.settings.proxy.first_start == "yes"
+        while not self.entries.known.is_set():
+            await self.reachable.wait()
+            await self._scan(stale=first_start)
+        while first_start and not self._knows_others():
+            if self.services.clock() - self.started > FIRST_START_SECONDS:
                 return
-            for change in result.changes:
-                self.view.apply(change, self.apply_proxy_key)
-            at = max(at, result.at)
-            if result.changes:
-                await self._pause()
+            pause = self.services.random.uniform(*FIRST_START_PAUSE_SECONDS)
+            await asyncio.sleep(pause)
+            await self._scan(stale=True)
+
+    def _knows_others(self):
+        """Return whether a proxy on another host of the same domain is known."""
+        proxy = self.services.settings.proxy
+        return any(
+            target.domain == proxy.domain and target.host != proxy.address
+            for target in self.services.directory.by_host.values()
+        )
+
+    async def _scan(self, stale=False):
+        """Read all keys; with ``stale``, as they were seconds ago at most."""
+        scanned = await self.services.store.scan(entry.OWN_PREFIX, stale)
+        if isinstance(scanned, kvstore.Away):
+            await self._note_unavailable(scanned.reason)
+            return
+        self._note_available()
+        self.entries.apply_scan(scanned)
 
-    async def _watch_once(self, at):
+    async def _watch(self):
+        """Watch the keys once; pause after changes, or if the store is unavailable."""
+        result = await self._watch_once()
+        if result is None:
+            return
+        if isinstance(result, kvstore.Away):
+            await self._note_unavailable(result.reason)
+            return
+        if isinstance(result, kvstore.HistoryGone):
+            self.services.log.event(
+                "history-gone", prefix=entry.OWN_PREFIX, after=self.entries.at
+            )
+            await self._scan()
+            return
+        self._note_available()
+        self.entries.apply_watch(result)
+        await self.write_bases()
+        if result.changes:
+            await self._pause()
+
+    async def _watch_once(self):
         """Return the result of one watch, ``None`` if it has to be sent again."""
         seconds = self.services.settings.store.watch_seconds
         try:
             async with asyncio.timeout(None) as self.watch_timeout:
-                return await self.services.store.watch(entry.OWN_PREFIX, at, seconds)
+                return await self.services.store.watch(
+                    entry.OWN_PREFIX, self.entries.at, seconds
+                )
         except TimeoutError:
             return None
         finally:
@@ -119,10 +159,7 @@
 
     async def _pause(self):
         """Wait before the next read; an order of a move ends a long wait."""
-        if (
-            self.services.clock() - self.started < STARTING_SECONDS
-            or self.has_open_order()
-        ):
+        if self.has_open_order():
             await asyncio.sleep(URGENT_PAUSE_SECONDS)
             return
         self.order_received.clear()
@@ -146,7 +183,3 @@
             self.services.log.event(
                 "store-regained", prefix=entry.OWN_PREFIX, seconds=seconds
             )
-
-    def snapshot(self):
-        """Return all known items, for a proxy that cannot reach the store."""
-        return list(self.view.items.values())
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -23,9 +23,9 @@
     """Local target of the proxy: its liveness, its slots and the calls that run there.
 
     ``services`` provides settings, clock, log, random numbers, dialect, target client,
-    crashes, bases, stalls and two callbacks: ``target_changed`` publishes a change of the
-    target, ``report_crash`` records and broadcasts a request that was in flight when
-    the target died.
+    crashes, bases, stalls and two callbacks: ``target_changed`` publishes a change of
+    the target, ``report_crash`` records and broadcasts a request that was in flight
+    when the target died.
 
     ``reservations`` maps the token of each reserved slot to its gate and ticket.
     """
@@ -62,10 +62,15 @@
         self._apply_change(before, result, "leave")
         return result
 
-    def restore(self, target):
-        """Use the stored entry of this host's earlier process if no target is known."""
+    def restore(self, target, responsive=True):
+        """Use the stored entry of this host's earlier process if no target is known.
+
+        Without ``responsive``, the target gets no calls before its next heartbeat.
+        """
         if self.liveness.target is None:
             self.liveness.restore(target, self.services.clock())
+            if not responsive:
+                self.liveness.mark_unresponsive()
             self._apply_change(None, liveness.Accepted(True), "entry in the store")
 
     def check_heartbeats(self):
--- a/lentilrouter/proxy/kvstore.py
+++ b/lentilrouter/proxy/kvstore.py
@@ -65,7 +65,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Conflict:
-    """Result: a key did not have the expected revision; nothing was written."""
+    """Result: a key did not have the expected revision; nothing was written.
+
+    ``items`` are the current items of the keys that were expected to have a revision;
+    a key without an item does not exist.
+    """
+
+    items: tuple = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -107,10 +113,11 @@
 
     __slots__ = ()
 
-    async def scan(self, prefix):
+    async def scan(self, prefix, stale=False):
         """Return all items whose key starts with ``prefix``.
 
-        The result is ``Scanned`` or ``Away``.
+        With ``stale``, the items may be seconds old, and the call costs less. The
+        result is ``Scanned`` or ``Away``.
         """
         raise NotImplementedError
 
--- a/lentilrouter/proxy/operator_state.py
+++ b/lentilrouter/proxy/operator_state.py
@@ -8,7 +8,7 @@
 import contextlib
 import math
 
-from lentilrouter.proxy import deltas, kvstore, state_messages, views
+from lentilrouter.proxy import deltas, kvstore, replicas, state_messages
 
 HOLD_MAX_SECONDS = 5.0  # of a long poll, whatever the request asks for
 
@@ -16,11 +16,11 @@
 class OperatorState:
     """The operator's keys, and the sheet read from them.
 
-    ``at`` is the revision of the store up to which no change is missing,
-    ``removals_since`` the one before which removals are not known, ``newest`` that of
-    the newest change applied. ``fresh_at`` is the time by the clock ``elapsed`` at
-    which the store had nothing newer. ``full_sheet_needed`` is true if the last delta
-    could not be applied. ``store_unreachable`` is true if the store responds to other
+    ``replica`` has the operator's keys, ``entries`` is the replica of the proxies' keys
+    that is sent with them. ``urgent`` is the revision of the newest change of these
+    that ends a long poll. ``fresh_at`` is the time by the clock ``elapsed`` at which
+    the store had nothing newer. ``full_sheet_needed`` is true if the last delta could
+    not be applied. ``store_unreachable`` is true if the store responds to other
     proxies, but not to this one. ``changed`` is the event that ends the long polls; it
     is replaced each time it is set. ``apply_order`` is called with each change of a key
     other than the sheet's. ``stopping`` is true once the process stops.
@@ -29,10 +29,9 @@
     __slots__ = (
         "services",
         "apply_order",
-        "view",
-        "at",
-        "removals_since",
-        "newest",
+        "entries",
+        "replica",
+        "urgent",
         "fresh_at",
         "full_sheet_needed",
         "store_unreachable",
@@ -40,13 +39,12 @@
         "stopping",
     )
 
-    def __init__(self, services, apply_order):
+    def __init__(self, services, apply_order, entries):
         self.services = services
         self.apply_order = apply_order
-        self.view = views.View()
-        self.at = 0
-        self.removals_since = 0
-        self.newest = 0
+        self.entries = entries
+        self.replica = replicas.Replica(self._apply_change)
+        self.urgent = 0
         self.fresh_at = -math.inf
         self.full_sheet_needed = False
         self.store_unreachable = False
@@ -67,9 +65,8 @@
 
         ``requested_at`` is the time of its request by the clock ``elapsed``.
         """
-        changed = self.view.apply_all(scanned.items, scanned.at, self._apply_change)
-        self.removals_since = self.removals_since or scanned.at
-        self._mark_fresh(scanned.at, requested_at, changed)
+        changed = self.replica.apply_scan(scanned)
+        self._mark_fresh(requested_at, changed)
         return changed
 
     def apply_changes(self, result, requested_at, seconds):
@@ -80,13 +77,11 @@
         newer until the watch ended. A watch that was cut short may have ended at any
         time since its request.
         """
-        changed = self.view.apply_each(result.changes, self._apply_change)
+        changed = self.replica.apply_watch(result)
         ran_full = (
             not result.changes and self.services.elapsed() >= requested_at + seconds
         )
-        self._mark_fresh(
-            result.at, requested_at + seconds if ran_full else requested_at, changed
-        )
+        self._mark_fresh(requested_at + seconds if ran_full else requested_at, changed)
         return changed
 
     def apply_response(self, response, requested_at):
@@ -98,24 +93,18 @@
         """
         if not self._apply_delta(response):
             return False
-        if response.complete:
-            # The sheet is sent as a delta, not as an item; its key must not be marked
-            # as removed.
-            key = self.services.adapter.CONFIG_KEY
-            sheet = [kvstore.Item(key, b"", self.view.last_revision(key))]
-            changed = self.view.apply_all(
-                [*response.items, *sheet], response.at, self._apply_change
-            )
-        else:
-            changes = [*response.items, *response.removed]
-            changed = self.view.apply_each(changes, self._apply_change)
+        # The sheet is sent as a delta, not as an item; its key must not be marked as
+        # removed.
+        key = self.services.adapter.CONFIG_KEY
+        sheet = kvstore.Item(key, b"", self.replica.last_revision(key))
+        changed = self.replica.apply_update(response.operator, kept=[sheet])
+        self.entries.apply_update(response.entries)
         fresh_at = (
             -math.inf
             if requested_at is None
             else requested_at + response.delay - response.age
         )
-        self.removals_since = self.removals_since or response.at
-        self._mark_fresh(response.at, fresh_at, changed or response.delta is not None)
+        self._mark_fresh(fresh_at, changed or response.delta is not None)
         return True
 
     def _apply_delta(self, response):
@@ -137,20 +126,20 @@
             return False
         self.full_sheet_needed = False
         key = services.adapter.CONFIG_KEY
-        self.view.revisions[key] = max(self.view.last_revision(key), response.revision)
-        self.newest = max(self.newest, response.revision)
+        revision = max(self.replica.last_revision(key), response.revision)
+        self.replica.revisions[key] = revision
+        self.replica.newest = max(self.replica.newest, response.revision)
         self._activate(sheet, response.revision, began, "proxy")
         return True
 
     def _apply_change(self, change):
         """Apply one change that is newer than what is known of its key."""
-        self.newest = max(self.newest, change.revision)
         adapter = self.services.adapter
         if change.key != adapter.CONFIG_KEY:
             self.apply_order(change)
             return
         # The sheet is stored decoded; storing its bytes too would double the memory.
-        self.view.items.pop(change.key, None)
+        self.replica.items.pop(change.key, None)
         if isinstance(change, kvstore.Item):
             self._apply_config(change)
 
@@ -187,13 +176,11 @@
             parse_seconds=round(services.clock() - began, 4),
         )
 
-    def _mark_fresh(self, at, fresh_at, changed):
-        """Record that no change up to revision ``at`` is missing.
+    def _mark_fresh(self, fresh_at, changed):
+        """Record that the store had nothing newer at a time by the clock ``elapsed``.
 
-        ``fresh_at`` is the time by the clock ``elapsed`` at which the store had nothing
-        newer. Wake the long polls if the state is fresher or ``changed`` is true.
+        Wake the long polls if the state is fresher or ``changed`` is true.
         """
-        self.at = max(self.at, at)
         newer = fresh_at > self.fresh_at
         if newer:
             self.fresh_at = fresh_at
@@ -205,6 +192,11 @@
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
+    def note_urgent(self, revision):
+        """End the long polls, as the proxies' keys have a change that cannot wait."""
+        self.urgent = max(self.urgent, revision)
+        self._wake()
+
     def note_store_unreachable(self, store_unreachable):
         """Record whether the store responds to other proxies, but not to this one.
 
@@ -221,7 +213,13 @@
         ``hold`` is the duration of its long poll in seconds.
         """
         version = 0 if self.full_sheet_needed else self.version()
-        return state_messages.StateRequest(self.at, version, hold)
+        return state_messages.StateRequest(
+            self.services.settings.proxy.address,
+            self.replica.at,
+            version,
+            self.entries.at,
+            hold,
+        )
 
     async def respond(self, request):
         """Return the ``StateResponse`` to a request, after its long poll.
@@ -233,38 +231,38 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(request.hold, HOLD_MAX_SECONDS)):
                     await self.changed.wait()
-        if self.stopping or not self.at:
+        if self.stopping or not self.replica.at:
             return None
         return self._build_response(request, self.services.elapsed() - began)
 
     def _has_changes(self, request):
         """Return whether there are changes that the requesting proxy lacks."""
-        return self.newest > request.at or self.version() > request.version
+        return (
+            self.replica.newest > request.at
+            or self.version() > request.version
+            or request.entries_at < self.urgent <= self.entries.at
+            or self.entries.at > request.entries_at == 0
+        )
 
     def _build_response(self, request, delay):
         """Return the ``StateResponse`` to a request.
 
         ``delay`` is the time in seconds for which the response was delayed.
         """
-        items = list(self.view.items.values())
-        complete = request.at < self.removals_since
-        if not complete:
-            items = [item for item in items if item.revision > request.at]
         return state_messages.StateResponse(
-            self.at,
             delay,
             min(self.age(), 1e9),
-            complete,
-            items,
-            [] if complete else self.view.removed_since(request.at),
-            self.view.last_revision(self.services.adapter.CONFIG_KEY),
+            self.replica.build_update(request.at),
+            self.entries.build_update(request.entries_at),
+            self.replica.last_revision(self.services.adapter.CONFIG_KEY),
             self.store_unreachable,
             self.services.holder.delta_since(request.version),
         )
 
     def snapshot(self):
         """Return a ``StateResponse`` with the complete state."""
-        return self._build_response(state_messages.StateRequest(0, 0, 0.0), 0.0)
+        everything = state_messages.StateRequest("", 0, 0, 0, 0.0)
+        return self._build_response(everything, 0.0)
 
     def stop_responding(self):
         """Refuse all further requests, and end the long polls: the process stops."""
--- a/lentilrouter/proxy/peering.py
+++ b/lentilrouter/proxy/peering.py
@@ -9,8 +9,8 @@
 class PeerHandler:
     """Handler of the requests of other proxies.
 
-    ``services`` provides the clock, log, hosting, registry, sheet holder, operator
-    state, bases and ``note_crash``.
+    ``services`` provides the clock, log, hosting, registry, pruner, sheet holder,
+    operator state, bases and ``note_crash``.
     """
 
     __slots__ = ("services",)
@@ -51,6 +51,7 @@
                 "question-refused", path=request.path, reason=str(error)
             )
             return messages.Response(400, [], b"")
+        self.services.pruner.note_request(state_request.host)
         state_response = await self.services.state.respond(state_request)
         if state_response is None:
             return messages.Response(503, [], b"")
--- a/lentilrouter/proxy/refreshing.py
+++ b/lentilrouter/proxy/refreshing.py
@@ -5,46 +5,80 @@
 """
 
 import asyncio
+import math
 
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import entry, hedging, kvstore, sources, state_messages
 
-# Duration of a watch by a reader; a store that takes longer counts as unresponsive.
-WATCH_SECONDS = 0.8
-# Duration of the watch after a response with changes: such a response proves freshness
-# only as of its request.
-WATCH_AFTER_CHANGE_SECONDS = 0.25
-# Duration of a long poll at another proxy: long enough for the response to include the
-# result of that proxy's next watch.
-HOLD_SECONDS = 0.85
+# Shares of the time within which a new sheet must be in force at all proxies.
+WATCH_SHARE = 0.4  # longest watch; a store that takes longer counts as unresponsive
+# Watch after a response with changes: it proves freshness only as of its request.
+WATCH_AFTER_CHANGE_SHARE = 0.125
+# Greatest age of fresh state: two watches, the first ended by a change, on slow links.
+FRESH_SHARE = 0.75
+# Age of the state at which a proxy scans the store without waiting for others: first
+# those that the others ask.
+LEADER_SCAN_SHARE = 0.8
+OWN_SCAN_SHARE = 0.875
+# Age of the state at which a second proxy is asked beside the first.
+SECOND_SOURCE_SHARE = 0.55
+# Time by which a long poll at another proxy outlasts that proxy's watch, so that the
+# response includes the result of the next one.
+HOLD_MARGIN_SECONDS = 0.05
 # Time allowed beyond a watch or a long poll; the response has some hundred bytes.
 RESPONSE_MARGIN_SECONDS = 0.25
-WATCH_OVERDUE_SECONDS = WATCH_SECONDS + RESPONSE_MARGIN_SECONDS
 # Time allowed for the response to a state request without a long poll.
 IMMEDIATE_OVERDUE_SECONDS = 0.3
 # Time allowed for a scan of the store, before proxies are asked again in parallel.
 SCAN_OVERDUE_SECONDS = 0.5
 # Time beyond its long poll after which a state request is cancelled.
 RESPONSE_TIMEOUT_SECONDS = 1.0
-# Greatest age of fresh state: two watches, the first ended by a change, on slow links.
-FRESH_SECONDS = 1.5
-# Age of the state at which this proxy scans the store without waiting for others.
-OWN_SCAN_AGE_SECONDS = 1.75
 # Transfer time above which the link is slow: versions that come faster would queue up.
 SLOW_READ_SECONDS = 0.25
-# Pause between scans while changes come.
-SCAN_PAUSE_SECONDS = 0.2
+SCAN_PAUSE_SECONDS = 0.2  # between scans while changes come
+# Time after its start in which a proxy that may ask others does not read the store.
+START_SECONDS = 1.5
 # Longest pause between scans of the store by a proxy that asks other proxies.
 STORE_PAUSE_MAX_SECONDS = 3.0
 # Pause of a reader between reads of a store that responds only to other proxies.
 READER_PAUSE_SECONDS = 0.8
 
 
+class Timing:
+    """Times in seconds that follow from the bound for a new sheet.
+
+    ``in_force_seconds`` is the longest time until a new sheet is in force.
+
+    >>> Timing(2.0).watch, Timing(3.0).fresh
+    (0.8, 2.25)
+    """
+
+    __slots__ = (
+        "watch",
+        "watch_after_change",
+        "hold",
+        "fresh",
+        "second_source_age",
+        "leader_scan_age",
+        "own_scan_age",
+    )
+
+    def __init__(self, in_force_seconds):
+        self.watch = WATCH_SHARE * in_force_seconds
+        self.watch_after_change = WATCH_AFTER_CHANGE_SHARE * in_force_seconds
+        self.hold = self.watch + HOLD_MARGIN_SECONDS
+        self.fresh = FRESH_SHARE * in_force_seconds
+        self.second_source_age = SECOND_SOURCE_SHARE * in_force_seconds
+        self.leader_scan_age = LEADER_SCAN_SHARE * in_force_seconds
+        self.own_scan_age = OWN_SCAN_SHARE * in_force_seconds
+
+
 class Refresher:
     """Keep the operator's state of this proxy current.
 
     ``services`` provides store, adapter, state, directory, peers, registry, settings,
-    clocks, random and log. ``sources`` chooses the proxies to ask. ``source`` is where
+    clocks, random and log. ``timing`` has the times that follow from the settings.
+    ``sources`` chooses the proxies to ask. ``source`` is where
     the last fresh state came from: "store" or "proxy", empty before the first.
     ``watch_seconds`` is the duration of the next watch. ``scan_due`` is true if the
     next read of the store must be a scan, since a watch would bring too much.
@@ -55,6 +89,7 @@
 
     __slots__ = (
         "services",
+        "timing",
         "state",
         "sources",
         "source",
@@ -67,10 +102,11 @@
 
     def __init__(self, services):
         self.services = services
+        self.timing = Timing(services.settings.promises.in_force_seconds)
         self.state = services.state
         self.sources = sources.Sources(services)
         self.source = ""
-        self.watch_seconds = WATCH_SECONDS
+        self.watch_seconds = self.timing.watch
         self.scan_due = True
         self.unavailable_since = None
         self.failed_scans = 0
@@ -78,6 +114,11 @@
 
     async def follow(self):
         """Refresh until cancelled; pause after a refresh without fresh state."""
+        await self.services.registry.settled.wait()
+        self.sources.choose()
+        if self._is_starting() and not self.sources.role.reads:
+            # Proxies that start together do not all read the store at once.
+            self.store_paused_until = self.services.clock() + START_SECONDS
         while True:
             if not await self._refresh():
                 await asyncio.sleep(self.services.random.uniform(*entry.RETRY_SECONDS))
@@ -88,7 +129,7 @@
         retries = [self._in_background(target) for target in self.sources.take_due()]
         result = await hedging.run([*retries, *self._fetches()])
         for fetch in result.missed:
-            if fetch.host:
+            if fetch.host and not self._is_starting():
                 self.sources.skip(fetch.host)
         if result.fresh is not None:
             self._note_fresh(result)
@@ -116,14 +157,15 @@
         """Return the fetches of one refresh, in the order in which they start."""
         now, role = self.services.clock(), self.sources.role
         # While the store does not respond to this proxy, it may respond to others.
-        retries = [self._fetch_from(target, HOLD_SECONDS) for target in role.sources]
+        hold = self.timing.hold
+        retries = [self._fetch_from(target, hold) for target in role.sources]
         scan = hedging.Fetch(self._scan, SCAN_OVERDUE_SECONDS)
         if role.reads and not (role.sources and now < self.store_paused_until):
             with_scan = bool(role.sources) and not self.scan_due
             hedge_delay = self._own_scan_delay if with_scan else None
             fetches = [
                 hedging.Fetch(
-                    self._read_store, WATCH_OVERDUE_SECONDS, hedge_delay=hedge_delay
+                    self._read_store, self._watch_overdue(), hedge_delay=hedge_delay
                 )
             ]
             fetches += [
@@ -134,13 +176,37 @@
         with_scan = now >= self.store_paused_until
         hedge_delay = self._own_scan_delay if with_scan else None
         first, *rest = self.sources.rotated()
-        fetches = [self._fetch_from(first, HOLD_SECONDS, hedge_delay)]
+        first_delay = self._second_source_delay if rest else hedge_delay
+        fetches = [self._fetch_from(first, hold, first_delay)]
         fetches += [self._fetch_from(target, 0.0, hedge_delay) for target in rest]
         return [*fetches, scan, *retries] if with_scan else fetches
 
     def _own_scan_delay(self):
         """Return the seconds until this proxy scans the store itself."""
-        return OWN_SCAN_AGE_SECONDS - self.state.age()
+        role, timing = self.sources.role, self.timing
+        early = role.leads and not role.reads
+        return self._until(timing.leader_scan_age if early else timing.own_scan_age)
+
+    def _second_source_delay(self):
+        """Return the seconds until a second proxy is asked."""
+        return self._until(self.timing.second_source_age)
+
+    def _until(self, age):
+        """Return the seconds until the state reaches an age, unless it is refreshed.
+
+        A proxy that has no state yet gives others time to respond.
+        """
+        if self._is_starting():
+            return SCAN_OVERDUE_SECONDS
+        return age - self.state.age()
+
+    def _is_starting(self):
+        """Return whether this proxy has never known the state to be fresh."""
+        return math.isinf(self.state.age())
+
+    def _watch_overdue(self):
+        """Return the seconds after which a watch of the store is overdue."""
+        return self.timing.watch + RESPONSE_MARGIN_SECONDS
 
     def _fetch_from(self, target, hold, hedge_delay=None):
         """Return a ``Fetch`` that sends a state request to another proxy.
@@ -194,7 +260,7 @@
 
     def _outcome(self):
         """Return ``FRESH`` or ``STALE``, by the age of the state."""
-        fresh = self.state.age() <= FRESH_SECONDS
+        fresh = self.state.age() <= self.timing.fresh
         return hedging.Outcome.FRESH if fresh else hedging.Outcome.STALE
 
     async def _read_store(self):
@@ -207,27 +273,28 @@
         services, requested_at = self.services, self.services.elapsed()
         prefix = services.adapter.OPERATOR_PREFIX
         watch_seconds = self.watch_seconds
-        result = await services.store.watch(prefix, self.state.at, watch_seconds)
+        at = self.state.replica.at
+        result = await services.store.watch(prefix, at, watch_seconds)
         if not isinstance(result, kvstore.Changed):
             self.scan_due = True
             if isinstance(result, kvstore.HistoryGone):
-                services.log.event("history-gone", prefix=prefix, after=self.state.at)
+                services.log.event("history-gone", prefix=prefix, after=at)
                 return await self._scan()
             self._note_unavailable(result.reason)
             return hedging.Outcome.NONE
         self._log_read("watch", requested_at, result.changes, result.waited)
         self.state.apply_changes(result, requested_at, watch_seconds)
-        self.watch_seconds = (
-            WATCH_AFTER_CHANGE_SECONDS if result.changes else WATCH_SECONDS
-        )
         seconds = services.elapsed() - requested_at
         slow = (
             seconds - result.waited > SLOW_READ_SECONDS
-            or seconds > WATCH_OVERDUE_SECONDS
+            or seconds > self._watch_overdue()
         )
         # On a slow link watches fall behind: they bring every version, a scan only one.
         self.scan_due = len(result.changes) > 1 or (bool(result.changes) and slow)
         self._note_store_response()
+        self.watch_seconds = (
+            self.timing.watch_after_change if result.changes else self.timing.watch
+        )
         return self._outcome()
 
     async def _scan(self):
--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -1,6 +1,7 @@
 """Apply the proxies' own entries in the store, and the operator's orders of moves.
 
-``following`` reads the entries; ``entry`` keeps this proxy's own entry current.
+``following`` reads the entries, ``entry`` keeps this proxy's own entry current, and
+``pruning`` removes those of hosts that are gone.
 """
 
 import asyncio
@@ -13,7 +14,6 @@
 BASES_PREFIX = entry.BASES_PREFIX
 STEWARDS_PREFIX = OWN_PREFIX + "stewards/"
 URGENT_PAUSE_SECONDS = following.URGENT_PAUSE_SECONDS
-STARTING_SECONDS = following.STARTING_SECONDS
 # Probes in a row without a response after which a host's target is removed; a single
 # one may be lost.
 PROBES_MAX = 2
@@ -44,9 +44,7 @@
         self.orders = {}
         self.stewards = {}
         self.probes = {}
-        self.own = entry.OwnEntry(
-            services, self.scanned, self.reachable, self.restart_watch
-        )
+        self.own = entry.OwnEntry(services, self.entries, self.reachable)
 
     @property
     def dirty(self):
@@ -54,7 +52,7 @@
         return self.own.dirty
 
     async def keep_entry(self):
-        """Keep a lease and this proxy's entry current, forever."""
+        """Keep this proxy's entry current, forever."""
         await self.own.keep()
 
     def entry(self):
@@ -69,9 +67,34 @@
         """Apply items that another proxy sent, if newer than the known ones."""
         for item in items:
             if item.key.startswith(OWN_PREFIX):
-                self.view.apply(item, self.apply_proxy_key)
+                self.entries.apply(item)
         self.services.log.event("caught-up", items=len(items))
 
+    async def write_bases(self):
+        """Store the base version of each service that has none.
+
+        That is the version of the target that started first. Other proxies may do the
+        same; only the first write takes effect.
+        """
+        services = self.services
+        for service, targets in list(services.directory.by_service.items()):
+            if service in services.bases.base:
+                continue
+            key = BASES_PREFIX + service
+            version = min(targets, key=lambda target: target.born).version
+            put = kvstore.Put(key, version.encode())
+            result = await services.store.write({key: 0}, [put])
+            if isinstance(result, kvstore.Written):
+                self.entries.apply(kvstore.Item(key, version.encode(), result.revision))
+            elif isinstance(result, kvstore.Conflict):
+                self.entries.apply_each(result.items)
+            services.log.event(
+                "base-written",
+                service=service,
+                version=version,
+                result=type(result).__name__,
+            )
+
     def apply_order(self, change):
         """Apply an order of a move, or its removal; log and ignore an invalid one.
 
@@ -102,6 +125,8 @@
     def apply_proxy_key(self, change):
         """Apply a change of a key that a proxy wrote; log and ignore an invalid one."""
         key = change.key
+        if not key.startswith(TARGETS_PREFIX):
+            self.services.state.note_urgent(change.revision)
         try:
             if key.startswith(TARGETS_PREFIX):
                 self._apply_target(key[len(TARGETS_PREFIX) :], change)
@@ -125,18 +150,23 @@
         """Apply a change of a host's entry; raise ``ValueError`` if it is invalid.
 
         This proxy's own entry restores the local target after a restart. A removed
-        entry of another host starts a probe of that host.
+        entry of another host starts a probe of that host, unless its target had left.
         """
         services = self.services
         now = services.clock()
         if host == services.settings.proxy.address:
             if isinstance(change, kvstore.Removed):
                 self.own.note_removed(change.revision)
-            elif services.hosting.liveness.target is None:
-                services.hosting.restore(directory.decode(change.value))
+                return
+            self.own.note_stored(change.value, change.revision)
+            services.restorer.restore(directory.decode(change.value))
             return
         if isinstance(change, kvstore.Removed):
-            self._start_probing(host)
+            target = services.directory.by_host.get(host)
+            if target is not None and not target.ready:
+                self._remove_target(host, "entry removed after its target left")
+            else:
+                self._start_probing(host)
             return
         probe = self.probes.pop(host, None)
         if probe is not None:
@@ -164,9 +194,8 @@
     def _start_probing(self, host):
         """Start to probe a host whose entry was removed from the store.
 
-        The lease of an entry expires while the store is unavailable or refuses a
-        proxy's requests, although that proxy and its target may be alive. So the target
-        is removed only once its host doesn't respond to probes.
+        The proxy that removed the entry may have been cut off from that host, which may
+        be alive. So the target is removed only once its host doesn't respond to probes.
         """
         if host in self.services.directory.by_host and host not in self.probes:
             loop = asyncio.get_running_loop()
--- /dev/null
+++ b/lentilrouter/proxy/restoring.py
@@ -0,0 +1,79 @@
+"""Restore the target on this host from its stored entry after a restart of the proxy.
+
+The entry may be of a target that has ended meanwhile, as after a loss of power. A
+target that is stored as ready therefore gets calls only once a health check has shown
+its id. The next heartbeat makes that unnecessary.
+"""
+
+import asyncio
+
+from lentilrouter.datapath import messages
+
+HEALTHY_STATUS = 200
+CHECK_SECONDS = 0.3  # timeout of a health check
+CHECK_PAUSE_SECONDS = 0.1  # between attempts
+# Time after which a target that has not shown its id counts as unresponsive.
+GIVE_UP_SECONDS = 6.0
+
+
+class Restorer:
+    """Restorer of the local target from its entry in the store.
+
+    ``services`` provides hosting, the sheet holder, dialect, target client, settings,
+    clock and log. ``task`` checks the target, ``None`` if there was nothing to check.
+    """
+
+    __slots__ = ("services", "task")
+
+    def __init__(self, services):
+        self.services = services
+        self.task = None
+
+    def restore(self, target):
+        """Restore a target unless one is known, at once if it takes no calls."""
+        if self.services.hosting.liveness.target is not None:
+            return
+        if not target.ready:
+            self.services.hosting.restore(target)
+        elif self.task is None:
+            loop = asyncio.get_running_loop()
+            self.task = loop.create_task(self._check_and_restore(target))
+
+    async def _check_and_restore(self, target):
+        """Check the id of a target until it is known, then restore the target."""
+        services = self.services
+        end = services.clock() + GIVE_UP_SECONDS
+        found = None
+        while found is None and services.clock() < end:
+            if services.hosting.liveness.target is not None:
+                return
+            found = await self._running_id(target.service)
+            if found is None:
+                await asyncio.sleep(CHECK_PAUSE_SECONDS)
+        if services.hosting.liveness.target is not None:
+            return
+        services.log.event("target-checked", expected=target.id, found=found)
+        services.hosting.restore(target, responsive=found == target.id)
+
+    async def _running_id(self, service):
+        """Return the id of the target on this host, empty if it takes no calls.
+
+        Return ``None`` if that is unknown: without a sheet, or if the health check has
+        no response in time or is refused because the target is full.
+        """
+        services = self.services
+        sheet = services.holder.sheet
+        known = sheet.services.get(service) if sheet is not None else None
+        if known is None or not known.health_path:
+            return None
+        address = services.settings.target.address
+        request = messages.Request("GET", known.health_path, [(b"host", b"target")])
+        result = await services.target_client.send(address, request, CHECK_SECONDS)
+        if not isinstance(result, messages.Replied):
+            return None
+        response = result.response
+        if response.header(services.dialect.NOT_RUN) is not None:
+            return None
+        if response.status != HEALTHY_STATUS:
+            return ""
+        return response.header(services.dialect.TARGET_ID)
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -99,6 +99,7 @@
             tasks.start_soon(services.refresher.follow)
             tasks.start_soon(registry.follow)
             tasks.start_soon(registry.keep_entry)
+            tasks.start_soon(services.pruner.run)
             tasks.start_soon(self._tick)
             await self.stopping.wait()
             await self._drain()
--- a/lentilrouter/proxy/services.py
+++ b/lentilrouter/proxy/services.py
@@ -23,8 +23,11 @@
     hosting,
     moves,
     operator_state,
+    probing,
+    pruning,
     refreshing,
     registry,
+    restoring,
     sending,
     stalls,
     state_messages,
@@ -83,7 +86,11 @@
         self.broadcasts = set()
         self.hosting = hosting.Hosting(self)
         self.registry = registry.Registry(self)
-        self.state = operator_state.OperatorState(self, self.registry.apply_order)
+        self.state = operator_state.OperatorState(
+            self, self.registry.apply_order, self.registry.entries
+        )
+        self.pruner = pruning.Pruner(self)
+        self.restorer = restoring.Restorer(self)
         self.refresher = refreshing.Refresher(self)
         self.steward = stewarding.Steward(self)
         promises = settings.promises
@@ -124,6 +131,11 @@
             return None
         return target if target.host == host else None
 
+    async def responds(self, peer):
+        """Return whether the proxy at an address responds to a probe."""
+        result = await self.peers.send(peer, probing.PING, TARGET_REQUEST_SECONDS)
+        return isinstance(result, messages.Replied)
+
     async def send_snapshot(self, peer, response):
         """Send all known state to a proxy that has no sheet.
 
@@ -134,14 +146,14 @@
         if sheet is None or response.body != exchange.NO_SHEET:
             return
         headers, body = self.state.snapshot().encode()
-        await self._send_state(peer, state_messages.SNAPSHOT_PATH, headers, body)
-        items = exchange.encode(self.registry.snapshot())
-        await self._send_state(peer, exchange.CATCH_UP_PATH, messages.JSON_TYPE, items)
-
-    async def _send_state(self, peer, path, headers, body):
-        request = messages.Request("POST", path, [(b"host", b"peer"), *headers], body)
+        request = messages.Request(
+            "POST",
+            state_messages.SNAPSHOT_PATH,
+            [(b"host", b"peer"), *headers],
+            body,
+        )
         result = await self.peers.send(peer, request, SNAPSHOT_SECONDS)
-        self.log.event("taught", peer=peer, path=path, result=type(result).__name__)
+        self.log.event("taught", peer=peer, result=type(result).__name__)
 
     def report_crash(self, request, target):
         """Record a call that was in flight when its target died, and broadcast it."""
--- a/lentilrouter/proxy/sheets.py
+++ b/lentilrouter/proxy/sheets.py
@@ -98,10 +98,19 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
-    """A service; ``connections`` is the most connections to one of its targets."""
+    """A service.
+
+    ``connections`` is the most connections to one of its targets, ``health_path`` the
+    path of their health checks, empty if there are none.
+    """
 
     name: str
     connections: int
+    health_path: str = ""
+
+    def as_row(self):
+        """Return the fields in order as a JSON-compatible list."""
+        return [self.name, self.connections, self.health_path]
 
 
 class Sheet:
@@ -134,7 +143,7 @@
         self.digest = self._digest()
 
     def _digest(self):
-        named = [[s.name, s.connections] for s in self.services.values()]
+        named = [service.as_row() for service in self.services.values()]
         limits = dataclasses.astuple(self.limits)
         content = [self.version, [r.digest for r in self.routes], named, limits]
         return xxhash.xxh64_intdigest(orjson.dumps(content))
--- a/lentilrouter/proxy/sources.py
+++ b/lentilrouter/proxy/sources.py
@@ -1,10 +1,12 @@
-"""Track the role of this proxy in its failure domain, and the proxies it may ask.
+"""Track the role of this proxy, and the proxies that it may ask for the shared state.
 
 A proxy that did not respond is skipped until it responds again: from time to time it is
 asked in the background. A proxy for which the store is unreachable, while the store
 responds to others, leaves reading the store to the next one.
 """
 
+import asyncio
+
 from lentilrouter.proxy import readers
 
 RETRY_AFTER_SECONDS = 3.0  # between requests to a skipped proxy
@@ -23,12 +25,14 @@
     hosts that did not respond to the time at which they are asked again.
     ``store_unreachable`` maps hosts for which the store is unreachable to the time at
     which that expires. ``chosen_for`` are the inputs from which ``role`` was last
-    chosen. ``turns`` counts the calls of ``rotated``.
+    chosen. ``reading`` is set while this proxy reads the store. ``turns`` counts the
+    calls of ``rotated``.
     """
 
     __slots__ = (
         "services",
         "role",
+        "reading",
         "chosen_for",
         "skipped",
         "store_unreachable",
@@ -38,6 +42,7 @@
     def __init__(self, services):
         self.services = services
         self.role = readers.Role(True, ())
+        self.reading = asyncio.Event()
         self.chosen_for = None
         self.skipped = {}
         self.store_unreachable = {}
@@ -60,11 +65,14 @@
         targets = [
             target
             for target in known.values()
-            if target.domain == proxy.domain
-            and target.open
-            and target.host not in skipped
+            if target.open and target.host not in skipped
         ]
-        self.role = readers.choose(proxy.address, targets, store_unreachable)
+        tree = readers.Tree(targets, store_unreachable)
+        self.role = tree.role(proxy.address, proxy.domain)
+        if self.role.reads:
+            self.reading.set()
+        else:
+            self.reading.clear()
 
     def rotated(self):
         """Return the targets whose proxies to ask, each time with another one first.
--- a/lentilrouter/proxy/state_messages.py
+++ b/lentilrouter/proxy/state_messages.py
@@ -1,17 +1,17 @@
-"""Encode and decode requests for the operator's state and the responses to them.
+"""Encode and decode requests for the shared state and the responses to them.
 
-A proxy sends a state request to another one that has the state. Both messages are JSON
+A proxy sends a state request to another one that has the state: the operator's keys,
+the sheet read from them, and the keys that the proxies write. Both messages are JSON
 arrays. Longer responses are compressed.
 """
 
-import base64
 import dataclasses
 import zlib
 
 import orjson
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import deltas, hops, kvstore
+from lentilrouter.proxy import deltas, hops, replicas
 
 STATE_PATH = hops.PATH_PREFIX + "operator-state"
 SNAPSHOT_PATH = hops.PATH_PREFIX + "operator-state-taught"
@@ -22,57 +22,56 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StateRequest:
-    """A request for the changes after revision ``at`` and sheet ``version``.
+    """A request of the proxy on ``host`` for the changes that it lacks.
+
+    It has the operator's keys up to revision ``at``, the sheet ``version`` and the
+    proxies' keys up to revision ``entries_at``.
 
     The response is a long poll: it is delayed for up to ``hold`` seconds until there
     are changes, or the state is known to be current at a later time.
     """
 
+    host: str
     at: int
     version: int
+    entries_at: int
     hold: float
 
     def encode(self):
         """Return the body of the request."""
-        return orjson.dumps([self.at, self.version, round(self.hold, 3)])
+        return orjson.dumps(
+            [self.host, self.at, self.version, self.entries_at, round(self.hold, 3)]
+        )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StateResponse:
-    """The changes after a requested revision, with none missing up to ``at``.
+    """The changes that a requesting proxy lacks.
 
     ``delay`` is the time in seconds for which the response was delayed, ``age`` the
-    time in seconds since the store was last known to have nothing newer. If
-    ``complete`` is true, ``items`` are all items, and any other was removed.
-    ``revision`` is the one of the sheet, ``delta`` the encoded delta to it, ``None``
-    for a proxy that has it. ``store_unreachable`` is true if the store responds to
-    other proxies, but not to the one that sends this.
+    time in seconds since the store was last known to have nothing newer for the
+    operator's keys. ``operator`` and ``entries`` are the updates of the operator's and
+    the proxies' keys. ``revision`` is the one of the sheet, ``delta`` the encoded delta
+    to it, ``None`` for a proxy that has it. ``store_unreachable`` is true if the store
+    responds to other proxies, but not to the one that sends this.
     """
 
-    at: int
     delay: float
     age: float
-    complete: bool
-    items: list
-    removed: list
+    operator: replicas.Update
+    entries: replicas.Update
     revision: int
     store_unreachable: bool
     delta: list | None
 
     def encode(self):
         """Return the headers and the body of the response."""
-        rows = [
-            [item.key, base64.b64encode(item.value).decode(), item.revision]
-            for item in self.items
-        ]
         body = orjson.dumps(
             [
-                self.at,
                 round(self.delay, 4),
                 round(self.age, 4),
-                self.complete,
-                rows,
-                [[removal.key, removal.revision] for removal in self.removed],
+                self.operator.encode(),
+                self.entries.encode(),
                 self.revision,
                 self.store_unreachable,
                 self.delta,
@@ -86,7 +85,8 @@
 def decode_request(body):
     """Return the ``StateRequest`` in a body; raise ``ValueError`` if malformed."""
     row = orjson.loads(body)
-    if not isinstance(row, list) or [type(f) for f in row] != [int, int, float]:
+    kinds = [str, int, int, int, float]
+    if not isinstance(row, list) or [type(f) for f in row] != kinds:
         raise ValueError(f"malformed state request: {row!r}"[:100])
     return StateRequest(*row)
 
@@ -97,33 +97,19 @@
     if message.header(DEFLATED[0]) == DEFLATED[1].decode():
         body = _inflate(body)
     row = orjson.loads(body)
-    kinds = [int, float, float, bool, list, list, int, bool]
+    kinds = [float, float, list, list, int, bool]
     if not isinstance(row, list) or [type(f) for f in row[:-1]] != kinds:
         raise ValueError(f"malformed state response: {row!r}"[:100])
-    at, delay, age, complete, items, removed, revision, store_unreachable, delta = row
-    try:
-        rows = [(key, base64.b64decode(value), rev) for key, value, rev in items]
-        _check_keys([*((key, rev) for key, _, rev in rows), *removed])
-        return StateResponse(
-            at,
-            delay,
-            age,
-            complete,
-            [kvstore.Item(*row) for row in rows],
-            [kvstore.Removed(key, rev) for key, rev in removed],
-            revision,
-            store_unreachable,
-            delta,
-        )
-    except (TypeError, AttributeError) as error:
-        raise ValueError(f"malformed state response: {error}") from None
-
-
-def _check_keys(pairs):
-    """Raise ``ValueError`` unless each pair is a string key and an integer revision."""
-    for key, revision in pairs:
-        if type(key) is not str or type(revision) is not int:
-            raise ValueError(f"malformed key or revision: {key!r}, {revision!r}"[:100])
+    delay, age, operator, entries, revision, store_unreachable, delta = row
+    return StateResponse(
+        delay,
+        age,
+        replicas.decode(operator),
+        replicas.decode(entries),
+        revision,
+        store_unreachable,
+        delta,
+    )
 
 
 def read_delta(response):
--- a/lentilrouter/proxy/stewarding.py
+++ b/lentilrouter/proxy/stewarding.py
@@ -15,7 +15,8 @@
 from lentilrouter.moves import evidence, judging
 from lentilrouter.proxy import exchange, hops, kvstore, moves, registry
 
-LEASE_SECONDS = 2.0  # a dead steward is replaced well within the time of a rollback
+# Time for which an unresponsive target may still run calls that its host can deliver.
+SILENT_SECONDS = 6.0
 TICK_SECONDS = 0.4  # pause between two decisions on a move
 EVIDENCE_SECONDS = 0.35  # timeout of a request for evidence
 START_DELAY_SECONDS = (0.0, 0.4)  # random, so that few proxies try to lead at once
@@ -45,7 +46,7 @@
 
     def _open(self, service):
         """Return whether a service has an open order and no steward."""
-        if not self.services.registry.scanned.is_set():
+        if not self.services.registry.entries.known.is_set():
             # Until the moves are read, an order whose move ended long ago looks new.
             return False
         return service not in self.services.registry.stewards and self.has_open_order(
@@ -71,7 +72,7 @@
             await asyncio.sleep(services.random.uniform(*START_DELAY_SECONDS))
             if not self._open(service) or services.hosting.stopping:
                 return
-            granted = await services.store.grant(LEASE_SECONDS)
+            granted = await services.store.grant(services.settings.store.lease_seconds)
             if not isinstance(granted, kvstore.Granted):
                 return
             key = registry.STEWARDS_PREFIX + service
@@ -101,7 +102,8 @@
     conditional. ``began`` is the time of the order by ``services.clock``.
     ``evidence_by_target`` maps the id of a target to its latest evidence.
     ``full_since`` is the time since which all traffic goes to the new version, or
-    ``None``.
+    ``None``. ``silent_since`` maps a host whose proxy doesn't respond to the time of
+    the first request without a response.
     """
 
     def __init__(self, services, service, lease, revision):
@@ -113,22 +115,24 @@
         self.judge = judging.JUDGES.get(JUDGE)(judging.Limits())
         self.evidence_by_target = {}
         self.full_since = None
+        self.silent_since = {}
 
     async def run(self):
         """Decide periodically until the move has ended or the lease has expired."""
         services = self.services
         services.log.event("steward", service=self.service, version=self.order.version)
+        lease_seconds = services.settings.store.lease_seconds
         renewed_at = services.clock()
         while True:
             now = services.clock()
-            if now - renewed_at > LEASE_SECONDS / 3:
+            if now - renewed_at > lease_seconds / 3:
                 renewed = await services.store.renew(self.lease)
                 if isinstance(renewed, kvstore.Granted):
                     renewed_at = now
                 elif isinstance(renewed, kvstore.LeaseEnded):
                     services.log.event("steward-lost", service=self.service)
                     return
-            if now - renewed_at > LEASE_SECONDS:
+            if now - renewed_at > lease_seconds:
                 services.log.event("steward-lost", service=self.service)
                 return
             if await self._step():
@@ -235,9 +239,12 @@
         """
         services = self.services
         key = registry.MOVES_PREFIX + self.service
-        known_revision = services.registry.view.revisions.get(key, 0)
+        entries = services.registry.entries
         steward_key = registry.STEWARDS_PREFIX + self.service
-        expected = {steward_key: self.steward_revision, key: max(0, known_revision)}
+        expected = {
+            steward_key: self.steward_revision,
+            key: entries.stored_revision(key),
+        }
         status_key, status = services.adapter.write_status(
             self.service, move.new, move.state
         )
@@ -259,13 +266,13 @@
         )
         if not isinstance(result, kvstore.Written):
             return False
-        services.registry.view.revisions[key] = result.revision
         services.bases.moves[self.service] = move
         if move.state is moves.State.DONE:
             services.bases.base[self.service] = move.new
         # A watch may report the change up to a second later, which is too late: all
         # proxies have to use the same share sooner.
         items = [kvstore.Item(put.key, put.value, result.revision) for put in announced]
+        entries.apply_each(items)
         await exchange.broadcast(
             services, exchange.CATCH_UP_PATH, exchange.encode(items)
         )
@@ -275,7 +282,8 @@
         """Return the summed evidence and a dict of calls in flight by version.
 
         A target whose proxy doesn't respond adds its last known evidence. If it takes
-        calls, it also adds one call in flight: nobody knows that it has none.
+        calls, it also adds one call in flight for ``SILENT_SECONDS``: nobody knows that
+        it has none.
         """
         own = self.services.hosting
         targets = list(self.services.directory.by_service.get(self.service, ()))
@@ -284,7 +292,9 @@
         )
         busy = collections.Counter()
         for target, report in zip(targets, reports, strict=True):
-            if report is None and self._may_be_at_work(target):
+            if report is not None:
+                self.silent_since.pop(target.host, None)
+            elif self._may_be_at_work(target):
                 busy[target.version] += 1
         if (
             own.liveness.target is not None
@@ -302,9 +312,16 @@
         return total, busy
 
     def _may_be_at_work(self, target):
-        """Return whether another host's target takes calls, as far as is known."""
+        """Return whether an unresponsive target may run calls.
+
+        That is one of another host that takes calls, as far as is known, and that has
+        been unresponsive for ``SILENT_SECONDS`` at most.
+        """
+        now = self.services.clock()
+        silent_seconds = now - self.silent_since.setdefault(target.host, now)
         own = self.services.settings.proxy.address
-        return target.host != own and target.ready and target.open
+        takes_calls = target.host != own and target.ready and target.open
+        return takes_calls and silent_seconds <= SILENT_SECONDS
 
     async def _request_report(self, target):
         """Return the report of a target's proxy, or ``None`` if there is none.
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,6 +9,7 @@
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import sending, serving, sheets
 
+HEALTH_PATH = "/healthz"
 INSTANCE_CALL_PATH = "/v1/rpc?call=instances.{}&of={}"
 
 
@@ -148,6 +149,8 @@
         Without being run, a request for another target gets status 421, and one that
         finds no free slot gets 503.
         """
+        if request.path == HEALTH_PATH:
+            return messages.Response(200, [(b"x-instance-id", self.id.encode())], b"")
         id = request.header(b"x-request-id") or ""
         echo = [(b"x-request-id", id.encode())]
         if request.header(b"x-expect-instance") != self.id:
--- a/tests/proxy/domain.py
+++ b/tests/proxy/domain.py
@@ -17,6 +17,7 @@
     moves,
     operator_state,
     peering,
+    pruning,
     refreshing,
     registry,
     sending,
@@ -48,9 +49,9 @@
         self.scans = 0
         self.bytes = 0
 
-    async def scan(self, prefix):
+    async def scan(self, prefix, stale=False):
         self.scans += 1
-        result = await self.send(self.inner.scan(prefix))
+        result = await self.send(self.inner.scan(prefix, stale))
         return await self.transfer(result, getattr(result, "items", ()))
 
     async def watch(self, prefix, after, seconds):
@@ -99,8 +100,12 @@
         self.peers = sending.Client()
         self.store = Store(store.PlatformStore(self.client, address, 1.0))
         self.registry = registry.Registry(self)
+        self.registry.settled.set()
         self.orders = []
-        self.state = operator_state.OperatorState(self, self.orders.append)
+        self.state = operator_state.OperatorState(
+            self, self.orders.append, self.registry.entries
+        )
+        self.pruner = pruning.Pruner(self)
         self.refresher = refreshing.Refresher(self)
         self.stopped = False
         peer_handler = peering.PeerHandler(self)
--- a/tests/proxy/doubles.py
+++ b/tests/proxy/doubles.py
@@ -13,7 +13,7 @@
 
 from lentilrouter.conf import defaults
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import directory, registry, sending
+from lentilrouter.proxy import directory, following, sending
 from standins import kvstore, target
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -57,7 +57,10 @@
     ``routes`` are specs as returned by ``route``.
     """
     routes = [{"name": f"r{index}", **spec} for index, spec in enumerate(routes)]
-    rows = [{"name": name, "max_conns": 50} for name in services]
+    rows = [
+        {"name": name, "max_conns": 50, "health_path": target.HEALTH_PATH}
+        for name in services
+    ]
     return json.dumps(
         {
             "version": f"{version:08x}",
@@ -245,7 +248,7 @@
         for machine in self.machines:
             await self.until_ready(machine)
         # A watch pauses after each response; after that all proxies know each other.
-        await asyncio.sleep(registry.URGENT_PAUSE_SECONDS + 0.2)
+        await asyncio.sleep(following.PAUSE_SECONDS + 0.2)
 
     def build(self, **options):
         """Return a new machine without starting it."""
--- a/tests/proxy/test_following.py
+++ b/tests/proxy/test_following.py
@@ -50,7 +50,10 @@
         timeout = self.settings.store.timeout_seconds
         self.store = store.PlatformStore(self.client, address, timeout)
         self.registry = registry.Registry(self)
-        self.state = operator_state.OperatorState(self, self.registry.apply_order)
+        self.registry.settled.set()
+        self.state = operator_state.OperatorState(
+            self, self.registry.apply_order, self.registry.entries
+        )
         self.refresher = refreshing.Refresher(self)
 
     def note(self, kind, /, **fields):
@@ -192,7 +195,7 @@
     async def test_watch_sent_before_an_outage_is_sent_again(self):
         await self.follow()
         follower = self.services.registry
-        follower.scanned.set()
+        follower.entries.known.set()
         keeping = asyncio.create_task(follower.keep_entry())
         self.addCleanup(keeping.cancel)
         await asyncio.sleep(0.5)
--- a/tests/proxy/test_operator_state.py
+++ b/tests/proxy/test_operator_state.py
@@ -6,7 +6,14 @@
 
 from lentilrouter.datapath import messages
 from lentilrouter.platform import sheets as adapter
-from lentilrouter.proxy import counters, holder, kvstore, operator_state, state_messages
+from lentilrouter.proxy import (
+    counters,
+    holder,
+    kvstore,
+    operator_state,
+    replicas,
+    state_messages,
+)
 from tests.proxy import doubles
 
 ORDER = "op/rollout/ledger"
@@ -34,7 +41,12 @@
         self.lines = []
         self.log = types.SimpleNamespace(event=lambda k, **f: self.lines.append((k, f)))
         self.orders = []
-        self.state = operator_state.OperatorState(self, self.orders.append)
+        self.settings = doubles.settings()
+        self.entry_changes = []
+        self.entries = replicas.Replica(self.entry_changes.append)
+        self.state = operator_state.OperatorState(
+            self, self.orders.append, self.entries
+        )
 
 
 def round_trip(response):
@@ -63,7 +75,7 @@
         self.reader.now += 0.3
         self.assertTrue(await self.refresh())
         self.assertEqual(self.other.state.version(), 1)
-        self.assertEqual(self.other.state.at, 12)
+        self.assertEqual(self.other.state.replica.at, 12)
         self.assertAlmostEqual(self.other.state.age(), 0.3)
 
     # Guards against: state that looks fresher than it is since its transfer took long.
@@ -106,7 +118,7 @@
         self.reader.now += 0.6
         self.reader.state.apply_changes(kvstore.Changed([], 15), requested_at, 0.5)
         self.assertAlmostEqual(self.reader.state.age(), 0.1)
-        self.assertEqual(self.reader.state.at, 15)
+        self.assertEqual(self.reader.state.replica.at, 15)
         change = kvstore.Changed([config(2, "/a/", "/b/")], 20)
         self.reader.state.apply_changes(change, requested_at + 0.6, 0.5)
         self.assertAlmostEqual(self.reader.state.age(), 0.0)
@@ -135,7 +147,7 @@
 
     # Guards against: a process that stops late because of long polls of other proxies.
     async def test_stop_responding_ends_long_polls_and_refuses_requests(self):
-        request = state_messages.StateRequest(12, 1, 5.0)
+        request = state_messages.StateRequest("h", 12, 1, 0, 5.0)
         waiting = asyncio.create_task(self.reader.state.respond(request))
         await asyncio.sleep(0.01)
         self.reader.state.stop_responding()
@@ -158,7 +170,7 @@
         late.state.apply_scan(kvstore.Scanned([kvstore.Item(ORDER, b"{}", 5)], 6), 1.0)
         request = late.state.build_request(0.0)
         response = round_trip(await self.reader.state.respond(request))
-        self.assertTrue(response.complete)
+        self.assertTrue(response.operator.complete)
         late.state.apply_response(response, 1.0)
         self.assertIsInstance(late.orders[-1], kvstore.Removed)
         self.assertEqual(late.state.version(), 1)
@@ -183,7 +195,7 @@
         self.other.state.apply_changes(newer, self.other.now, 0.5)
         self.other.state.apply_response(old, self.other.now)
         self.assertEqual(self.other.state.version(), 3)
-        self.assertEqual(self.other.state.at, 30)
+        self.assertEqual(self.other.state.replica.at, 30)
 
 
 class MessageTests(unittest.TestCase):
--- a/tests/proxy/test_refreshing.py
+++ b/tests/proxy/test_refreshing.py
@@ -8,7 +8,6 @@
 from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
 from lentilrouter.proxy import kvstore as product_kvstore
-from lentilrouter.proxy import refreshing
 from tests.proxy import domain, doubles
 
 IN_FORCE_SECONDS = 2.0  # the shortest setting at the platform's sites
@@ -91,7 +90,7 @@
         for _ in range(30):
             await asyncio.sleep(0.1)
             oldest = max(node.state.age() for node in self.nodes)
-            self.assertLess(oldest, refreshing.FRESH_SECONDS)
+            self.assertLess(oldest, self.nodes[0].refresher.timing.fresh)
 
 
 class ReaderFailureTests(domain.DomainCase):
@@ -161,7 +160,8 @@
         node.following.cancel()
         for other in self.nodes[:-1]:
             other.stop()
-        node.state.fresh_at = clock.elapsed() - refreshing.OWN_SCAN_AGE_SECONDS + 0.2
+        age = node.refresher.timing.own_scan_age - 0.2
+        node.state.fresh_at = clock.elapsed() - age
         node.store.scans = 0
         began = time.monotonic()
         node.following = asyncio.create_task(node.refresher.follow())
--- a/tests/proxy/test_stewarding.py
+++ b/tests/proxy/test_stewarding.py
@@ -1,6 +1,5 @@
 """Which moves a steward leads, how it halts a bad version, and what it broadcasts."""
 
-import asyncio
 import dataclasses
 import random
 import types
@@ -8,7 +7,14 @@
 
 from lentilrouter.datapath import messages
 from lentilrouter.moves import judging
-from lentilrouter.proxy import directory, exchange, kvstore, moves, stewarding, views
+from lentilrouter.proxy import (
+    directory,
+    exchange,
+    kvstore,
+    moves,
+    replicas,
+    stewarding,
+)
 from tests.proxy import doubles
 
 
@@ -17,9 +23,10 @@
 
     def __init__(self):
         order = moves.Order("ledger", "v2", 16.0)
-        scanned = asyncio.Event()
         self.registry = types.SimpleNamespace(
-            orders={"ledger": (order, 14, 0.0)}, stewards={}, scanned=scanned
+            orders={"ledger": (order, 14, 0.0)},
+            stewards={},
+            entries=replicas.Replica(lambda change: None),
         )
         self.bases = moves.Bases()
         self.bases.base["ledger"] = "v2"
@@ -93,7 +100,6 @@
                 ),
                 0.0,
             )
-        services.registry.view = views.View()
         services.adapter = types.SimpleNamespace(
             write_status=lambda *fields: ("status", b"{}")
         )
