Announce an own entry to the proxies that others ask, not to all

Change: a proxy announces its entry to the readers and to the leaders of its domain; their long polls end at most each 0.1 s and bring the changes to the others. A replica counts the changes that it applies, so that an announced one is sent once, although its revision is above that up to which the replica has all. Changes of moves and stewards end the long polls at once. Calls to the store are counted by kind and prefix: at the metrics address, and in a line at the end.

--- a/lentilrouter/platform/store.py
+++ b/lentilrouter/platform/store.py
@@ -10,6 +10,15 @@
 from lentilrouter.datapath import messages
 from lentilrouter.proxy import kvstore
 
+KINDS = {
+    "kv-range": "scan",
+    "stale": "stale scan",
+    "kv-watch": "watch",
+    "kv-txn": "write",
+    "kv-lease": "grant",
+    "kv-keep": "renew",
+    "kv-lease-end": "revoke",
+}
 PAGE_CALLS_MAX = 2  # in flight for one page
 PAGE_EXTRA_SECONDS = 8.0  # added to the timeout; 1 MB takes 8 s at 1 Mbit/s
 
@@ -18,17 +27,18 @@
     """The product's store interface, implemented by requests to the platform's store.
 
     ``client`` sends the requests and ``timeout`` limits each one, in seconds; watches
-    and pages get more. ``calls`` counts the requests. ``unfinished_pages`` maps the
-    query of a page to a request for it that outlasted its scan.
+    and pages get more. ``on_call`` is called with the kind of each request and the
+    prefix that it reads, empty for other requests. ``unfinished_pages`` maps the query
+    of a page to a request for it that outlasted its scan.
     """
 
-    __slots__ = ("client", "address", "timeout", "calls", "unfinished_pages")
+    __slots__ = ("client", "address", "timeout", "on_call", "unfinished_pages")
 
-    def __init__(self, client, address, timeout):
+    def __init__(self, client, address, timeout, on_call=lambda kind, prefix: None):
         self.client = client
         self.address = address
         self.timeout = timeout
-        self.calls = 0
+        self.on_call = on_call
         self.unfinished_pages = {}
 
     async def scan(self, prefix, stale=False):
@@ -174,7 +184,7 @@
         if body is not None:
             headers += messages.JSON_TYPE
             data = orjson.dumps(body)
-        self.calls += 1
+        self._count(path, query or {})
         sent_at = clock.elapsed()
         request = messages.Request(method, target, headers, data)
         outcome = await self.client.send(
@@ -194,6 +204,13 @@
             response.status, parsed, reason, outcome_unknown, outcome.waited, sent_at
         )
 
+    def _count(self, path, query):
+        """Report a request by its kind and the prefix that it reads."""
+        kind = path.split("/")[2]
+        if "stale_read" in query:
+            kind = "stale"
+        self.on_call(KINDS[kind], query.get("prefix", ""))
+
 
 class _Reply:
     """Response of the store, or failure to get one.
--- a/lentilrouter/proxy/counters.py
+++ b/lentilrouter/proxy/counters.py
@@ -32,6 +32,7 @@
         "children",
         "cross_domain_bytes",
         "confirmations",
+        "store_calls",
     )
 
     def __init__(self):
@@ -68,6 +69,12 @@
             buckets=SECONDS_BUCKETS,
             **options,
         )
+        self.store_calls = prometheus_client.Counter(
+            "lentilrouter_store_calls",
+            "Calls to the store",
+            ["kind", "prefix"],
+            **options,
+        )
         self.children = {}
 
     def count_call(self, route):
@@ -90,6 +97,23 @@
         """Count the time in seconds until another proxy confirmed a call."""
         self.confirmations.observe(seconds)
 
+    def count_store_call(self, kind, prefix):
+        """Count a call to the store by its kind and the prefix of keys that it reads."""
+        self.store_calls.labels(kind, prefix).inc()
+
+    def store_calls_by_kind(self):
+        """Return a dict of calls to the store.
+
+        The keys are the kind of call and the prefix that it reads, with a blank between
+        them.
+        """
+        return {
+            f"{sample.labels['kind']} {sample.labels['prefix']}".strip(): sample.value
+            for metric in self.store_calls.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total")
+        }
+
     def count_refusal(self, cause):
         """Count a refused call by cause."""
         self.refusals.labels(cause).inc()
--- a/lentilrouter/proxy/entry.py
+++ b/lentilrouter/proxy/entry.py
@@ -102,7 +102,7 @@
     async def write(self):
         """Write, or remove, the entry as it should be; return whether that succeeded.
 
-        The result is logged, also that of a failure. A written entry is broadcast.
+        The result is logged, also that of a failure. A written entry is announced.
         """
         services, entry = self.services, self.desired()
         expected = {self.key: self.revision}
@@ -132,7 +132,7 @@
             open=entry.open,
             revision=result.revision,
         )
-        self._broadcast(kvstore.Item(self.key, value, result.revision))
+        self._announce(kvstore.Item(self.key, value, result.revision))
         return True
 
     def _note_conflict(self, conflict):
@@ -155,13 +155,13 @@
                 self.services.log.event(
                     "entry-refused", key=item.key, reason=str(error)
                 )
-            self._broadcast(item)
+            self._announce(item)
         return True
 
-    def _broadcast(self, item):
-        """Record an item of the own key, and send it to all other proxies."""
+    def _announce(self, item):
+        """Record an item of the own key, and announce it to those that others ask."""
         self.entries.apply(item)
-        self.services.broadcast(exchange.CATCH_UP_PATH, exchange.encode([item]))
+        self.services.announce(exchange.encode([item]))
 
 
 def _comparable(target):
--- a/lentilrouter/proxy/exchange.py
+++ b/lentilrouter/proxy/exchange.py
@@ -72,6 +72,14 @@
     """
     own = services.settings.proxy.address
     targets = [t for t in services.directory.by_host.values() if t.host != own]
+    return await send_to(services, targets, path, body)
+
+
+async def send_to(services, targets, path, body):
+    """Send a message to the proxies of some targets.
+
+    Return the hosts that did not respond within ``BROADCAST_SECONDS``.
+    """
     request = messages.Request("POST", path, [(b"host", b"peer")], body)
     results = await asyncio.gather(
         *(services.peers.send(t.peer, request, BROADCAST_SECONDS) for t in targets)
--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -18,6 +18,7 @@
 # Longest time that a proxy of a new system looks for others before it reads the store
 # as one that is alone: time for their first heartbeats and entries.
 FIRST_START_SECONDS = 4.0
+EPOCH_BITS = 48  # of a random number that no two processes share
 FIRST_START_PAUSE_SECONDS = (0.6, 1.2)  # random, between two scans meanwhile
 
 
@@ -47,7 +48,8 @@
 
     def __init__(self, services):
         self.services = services
-        self.entries = replicas.Replica(self.apply_proxy_key)
+        epoch = services.random.getrandbits(EPOCH_BITS) + 1
+        self.entries = replicas.Replica(self.apply_proxy_key, epoch)
         self.unavailable_since = None
         self.reachable = asyncio.Event()
         self.reachable.set()
--- a/lentilrouter/proxy/operator_state.py
+++ b/lentilrouter/proxy/operator_state.py
@@ -10,6 +10,8 @@
 
 from lentilrouter.proxy import deltas, kvstore, replicas, state_messages
 
+# Time for which changes of the proxies' keys are collected before they are passed on.
+ENTRY_DELAY_SECONDS = 0.1
 HOLD_MAX_SECONDS = 5.0  # of a long poll, whatever the request asks for
 
 
@@ -17,10 +19,11 @@
     """The operator's keys, and the sheet read from them.
 
     ``replica`` has the operator's keys, ``entries`` is the replica of the proxies' keys
-    that is sent with them. ``urgent`` is the revision of the newest change of these
-    that ends a long poll. ``fresh_at`` is the time by the clock ``elapsed`` at which
-    the store had nothing newer. ``full_sheet_needed`` is true if the last delta could
-    not be applied. ``store_unreachable`` is true if the store responds to other
+    that is sent with them. ``urgent`` is the count of the last change of these that
+    cannot wait, ``waking`` the timer for changes that can, if it runs. ``fresh_at`` is
+    the time by the clock ``elapsed`` at which the store had nothing newer.
+    ``full_sheet_needed`` is true if the last delta could not be applied.
+    ``store_unreachable`` is true if the store responds to other
     proxies, but not to this one. ``changed`` is the event that ends the long polls; it
     is replaced each time it is set. ``apply_order`` is called with each change of a key
     other than the sheet's. ``stopping`` is true once the process stops.
@@ -32,6 +35,7 @@
         "entries",
         "replica",
         "urgent",
+        "waking",
         "fresh_at",
         "full_sheet_needed",
         "store_unreachable",
@@ -45,6 +49,7 @@
         self.entries = entries
         self.replica = replicas.Replica(self._apply_change)
         self.urgent = 0
+        self.waking = None
         self.fresh_at = -math.inf
         self.full_sheet_needed = False
         self.store_unreachable = False
@@ -189,13 +194,24 @@
 
     def _wake(self):
         """Wake the long polls that wait for a change."""
+        if self.waking is not None:
+            self.waking.cancel()
+            self.waking = None
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
-    def note_urgent(self, revision):
-        """End the long polls, as the proxies' keys have a change that cannot wait."""
-        self.urgent = max(self.urgent, revision)
-        self._wake()
+    def note_entry_change(self, urgent):
+        """End the long polls, since one of the proxies' keys has changed.
+
+        Unless the change is ``urgent``, that is done a little later, together with the
+        changes that come until then.
+        """
+        if urgent:
+            self.urgent = self.entries.count
+            self._wake()
+        elif self.waking is None:
+            loop = asyncio.get_running_loop()
+            self.waking = loop.call_later(ENTRY_DELAY_SECONDS, self._wake)
 
     def note_store_unreachable(self, store_unreachable):
         """Record whether the store responds to other proxies, but not to this one.
@@ -207,10 +223,11 @@
         if begins:
             self._wake()
 
-    def build_request(self, hold):
+    def build_request(self, hold, mark=(0, 0)):
         """Return the ``StateRequest`` for what this proxy lacks.
 
-        ``hold`` is the duration of its long poll in seconds.
+        ``hold`` is the duration of its long poll in seconds, ``mark`` that of the last
+        update of the proxies' keys from the proxy that is asked.
         """
         version = 0 if self.full_sheet_needed else self.version()
         return state_messages.StateRequest(
@@ -219,6 +236,7 @@
             version,
             self.entries.at,
             hold,
+            mark,
         )
 
     async def respond(self, request):
@@ -228,6 +246,8 @@
         """
         began = self.services.elapsed()
         if not self.stopping and not self._has_changes(request):
+            if self.entries.has_news(request.mark):
+                self.note_entry_change(urgent=False)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(request.hold, HOLD_MAX_SECONDS)):
                     await self.changed.wait()
@@ -240,7 +260,7 @@
         return (
             self.replica.newest > request.at
             or self.version() > request.version
-            or request.entries_at < self.urgent <= self.entries.at
+            or (self.entries.has_news(request.mark) and self.urgent > request.mark[1])
             or self.entries.at > request.entries_at == 0
         )
 
@@ -253,7 +273,7 @@
             delay,
             min(self.age(), 1e9),
             self.replica.build_update(request.at),
-            self.entries.build_update(request.entries_at),
+            self.entries.build_update(request.entries_at, request.mark),
             self.replica.last_revision(self.services.adapter.CONFIG_KEY),
             self.store_unreachable,
             self.services.holder.delta_since(request.version),
--- a/lentilrouter/proxy/readers.py
+++ b/lentilrouter/proxy/readers.py
@@ -59,6 +59,10 @@
         """Return the targets whose proxies read the store."""
         return self.candidates[:READERS]
 
+    def leaders(self, domain):
+        """Return the targets whose proxies lead a failure domain."""
+        return self.by_domain.get(domain, [])[:LEADERS]
+
     def role(self, host, domain):
         """Return the ``Role`` of a host in a failure domain."""
         if any(target.host == host for target in self.readers):
@@ -79,8 +83,8 @@
         own = self.by_domain.get(domain, [])
         asking = set()
         if any(target.host == host for target in self.readers):
-            for leaders in self.by_domain.values():
-                asking.update(target.host for target in leaders[:LEADERS])
+            for name in self.by_domain:
+                asking.update(target.host for target in self.leaders(name))
         for index in range(LEADERS, len(own)):
             if any(target.host == host for target in _sources(own, index)):
                 asking.add(own[index].host)
--- a/lentilrouter/proxy/refreshing.py
+++ b/lentilrouter/proxy/refreshing.py
@@ -79,7 +79,8 @@
 
     ``services`` provides store, adapter, state, directory, peers, registry, settings,
     clocks, random and log. ``timing`` has the times that follow from the settings.
-    ``sources`` chooses the proxies to ask. ``source`` is where
+    ``sources`` chooses the proxies to ask, ``marks`` has the mark of the last update of
+    the proxies' keys from each of their hosts. ``source`` is where
     the last fresh state came from: "store" or "proxy", empty before the first.
     ``watch_seconds`` is the duration of the next watch. ``scan_due`` is true if the
     next read of the store must be a scan, since a watch would bring too much.
@@ -93,6 +94,7 @@
         "timing",
         "state",
         "sources",
+        "marks",
         "source",
         "watch_seconds",
         "scan_due",
@@ -106,6 +108,7 @@
         self.timing = Timing(services.settings.promises.in_force_seconds)
         self.state = services.state
         self.sources = sources.Sources(services)
+        self.marks = {}
         self.source = ""
         self.watch_seconds = self.timing.watch
         self.scan_due = True
@@ -233,11 +236,12 @@
         Return the ``Outcome`` of the fetch.
         """
         services, requested_at = self.services, self.services.elapsed()
+        mark = self.marks.get(target.host, (0, 0))
         request = messages.Request(
             "POST",
             state_messages.STATE_PATH,
             [(b"host", b"peer"), *messages.JSON_TYPE],
-            self.state.build_request(hold).encode(),
+            self.state.build_request(hold, mark).encode(),
         )
         result = await services.peers.send(
             target.peer, request, hold + RESPONSE_TIMEOUT_SECONDS
@@ -255,6 +259,8 @@
         except ValueError as error:
             services.log.event("source-lost", host=target.host, reason=str(error))
             return hedging.Outcome.NONE
+        if applied:
+            self.marks[target.host] = response.entries.mark
         self.sources.note_response(target.host, response.store_unreachable)
         if applied and self._outcome() is hedging.Outcome.FRESH:
             self._note_available()
--- a/lentilrouter/proxy/registry.py
+++ b/lentilrouter/proxy/registry.py
@@ -125,8 +125,8 @@
     def apply_proxy_key(self, change):
         """Apply a change of a key that a proxy wrote; log and ignore an invalid one."""
         key = change.key
-        if not key.startswith(TARGETS_PREFIX):
-            self.services.state.note_urgent(change.revision)
+        urgent = not key.startswith(TARGETS_PREFIX)
+        self.services.state.note_entry_change(urgent)
         try:
             if key.startswith(TARGETS_PREFIX):
                 self._apply_target(key[len(TARGETS_PREFIX) :], change)
--- a/lentilrouter/proxy/replicas.py
+++ b/lentilrouter/proxy/replicas.py
@@ -2,7 +2,9 @@
 
 A replica gets its keys from the store or from another replica. It tells how far it is
 by a revision of the store, and another replica is sent only what changed since its own
-revision.
+revision. A change may also be announced by the proxy that made it, before any replica
+has all changes up to its revision. So a replica counts the changes that it applies, and
+one that had an update from it before is sent only the changes counted since.
 """
 
 import asyncio
@@ -14,15 +16,17 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Update:
-    """The changes after a requested revision, with none missing up to ``at``.
+    """The changes that another replica lacks, with none missing up to ``at``.
 
     If ``complete`` is true, ``items`` are all items, and any other was removed.
+    ``mark`` identifies the state of the replica that sends the update.
     """
 
     at: int
     complete: bool
     items: list
     removed: list
+    mark: tuple = (0, 0)
 
     def encode(self):
         """Return the update as a JSON-compatible list."""
@@ -31,19 +35,15 @@
             for item in self.items
         ]
         removed = [[removal.key, removal.revision] for removal in self.removed]
-        return [self.at, self.complete, rows, removed]
+        return [self.at, self.complete, rows, removed, list(self.mark)]
 
 
 def decode(fields):
     """Return the ``Update`` in a decoded list; raise ``ValueError`` if malformed."""
-    if not isinstance(fields, list) or [type(f) for f in fields] != [
-        int,
-        bool,
-        list,
-        list,
-    ]:
+    kinds = [int, bool, list, list, list]
+    if not isinstance(fields, list) or [type(f) for f in fields] != kinds:
         raise ValueError(f"malformed update: {fields!r}"[:100])
-    at, complete, rows, removed = fields
+    at, complete, rows, removed, mark = fields
     try:
         items = [
             kvstore.Item(key, base64.b64decode(value), revision)
@@ -55,7 +55,14 @@
     for change in [*items, *removals]:
         if type(change.key) is not str or type(change.revision) is not int:
             raise ValueError(f"malformed key or revision: {change!r}"[:100])
-    return Update(at, complete, items, removals)
+    return Update(at, complete, items, removals, decode_mark(mark))
+
+
+def decode_mark(fields):
+    """Return the mark in a decoded list; raise ``ValueError`` if malformed."""
+    if [type(field) for field in fields] != [int, int]:
+        raise ValueError(f"malformed mark: {fields!r}"[:100])
+    return tuple(fields)
 
 
 class Replica:
@@ -67,6 +74,10 @@
     ``known`` is set once they are. ``removals_since`` is the revision before which
     removals are not known, ``newest`` that of the newest change applied. ``on_change``
     is called with each change that is newer than the last one known of its key.
+
+    ``epoch`` is a number that no other replica has, nor one of an earlier process.
+    ``count`` is the number of changes applied, and ``counted`` maps each key to the
+    count at its last change.
     """
 
     __slots__ = (
@@ -77,10 +88,16 @@
         "removals_since",
         "newest",
         "known",
+        "epoch",
+        "count",
+        "counted",
     )
 
-    def __init__(self, on_change):
+    def __init__(self, on_change, epoch=0):
         self.on_change = on_change
+        self.epoch = epoch
+        self.count = 0
+        self.counted = {}
         self.revisions = {}
         self.items = {}
         self.at = 0
@@ -125,6 +142,8 @@
         removed = isinstance(change, kvstore.Removed)
         self.revisions[change.key] = -change.revision if removed else change.revision
         self.newest = max(self.newest, change.revision)
+        self.count += 1
+        self.counted[change.key] = self.count
         if removed:
             self.items.pop(change.key, None)
         else:
@@ -158,18 +177,34 @@
         """Return the revision of a key that exists, 0 if it is not known to."""
         return max(0, self.revisions.get(key, 0))
 
-    def build_update(self, since):
-        """Return the ``Update`` for a replica that misses changes after ``since``."""
-        items = list(self.items.values())
-        if since < self.removals_since:
-            return Update(self.at, True, items, [])
-        newer = [item for item in items if item.revision > since]
-        return Update(self.at, False, newer, self._removed_since(since))
-
-    def _removed_since(self, revision):
-        """Return the keys removed after a revision, as ``Removed``."""
-        return [
-            kvstore.Removed(key, -last)
-            for key, last in self.revisions.items()
-            if -last > revision
+    @property
+    def mark(self):
+        """Return what identifies the present state of this replica."""
+        return (self.epoch, self.count)
+
+    def has_news(self, mark):
+        """Return whether a replica lacks changes that had the state of ``mark``.
+
+        A mark of another replica tells nothing, so the result is ``False`` then.
+        """
+        return mark[0] == self.epoch and mark[1] < self.count
+
+    def build_update(self, since, mark=(0, 0)):
+        """Return the ``Update`` for another replica.
+
+        That replica misses changes after revision ``since``, or after the state that
+        ``mark`` identifies, if that is one of this replica.
+        """
+        if mark[0] == self.epoch != 0:
+            keys = {key for key, count in self.counted.items() if count > mark[1]}
+        elif since < self.removals_since:
+            return Update(self.at, True, list(self.items.values()), [], self.mark)
+        else:
+            keys = {key for key, last in self.revisions.items() if abs(last) > since}
+        newer = [item for key, item in self.items.items() if key in keys]
+        removed = [
+            kvstore.Removed(key, -self.revisions[key])
+            for key in keys
+            if self.revisions[key] < 0
         ]
+        return Update(self.at, False, newer, removed, self.mark)
--- a/lentilrouter/proxy/runtime.py
+++ b/lentilrouter/proxy/runtime.py
@@ -114,6 +114,8 @@
         services.log.event(
             "crossed", bytes=services.counters.cross_domain_bytes_by_route()
         )
+        calls = services.counters.store_calls_by_kind()
+        services.log.event("store-calls", calls=calls)
         services.log.event("stop", active=self.callers.active + self.peers.active)
         services.log.flush()
 
--- a/lentilrouter/proxy/services.py
+++ b/lentilrouter/proxy/services.py
@@ -79,7 +79,10 @@
             tcp_keep_alive=True, idle_limit=STORE_IDLE_SECONDS
         )
         self.store = platform.open_store(
-            store_client, settings.store.address, settings.store.timeout_seconds
+            store_client,
+            settings.store.address,
+            settings.store.timeout_seconds,
+            self.counters.count_store_call,
         )
         self.crashes = crashing.Crashes()
         self.stalls = stalls.StallDetector(clock())
@@ -166,11 +169,25 @@
 
     def broadcast(self, path, body):
         """Send a message to all other proxies, without waiting for the result."""
+        self._send_in_background(exchange.broadcast(self, path, body))
+
+    def _send_in_background(self, sending):
+        """Run a coroutine that sends messages, without waiting for the result."""
         loop = asyncio.get_running_loop()
-        task = loop.create_task(exchange.broadcast(self, path, body))
+        task = loop.create_task(sending)
         self.broadcasts.add(task)
         task.add_done_callback(self.broadcasts.discard)
 
+    def announce(self, items):
+        """Send encoded items of the proxies' keys to the proxies that others ask.
+
+        The others get them with their next state response.
+        """
+        targets = self.refresher.sources.announced_to()
+        self._send_in_background(
+            exchange.send_to(self, targets, exchange.CATCH_UP_PATH, items)
+        )
+
     def note_crash(self, fingerprint, incarnation):
         """Record that a target died with a call in flight.
 
--- a/lentilrouter/proxy/sources.py
+++ b/lentilrouter/proxy/sources.py
@@ -21,7 +21,8 @@
 class Sources:
     """Choose the ``Role`` of this proxy, and the order in which to ask others.
 
-    ``services`` provides state, directory, settings, clock and log. ``skipped`` maps
+    ``services`` provides state, directory, settings, clock and log. ``tree`` is the
+    last choice among the known targets, ``role`` that of this proxy. ``skipped`` maps
     hosts that did not respond to the time at which they are asked again.
     ``store_unreachable`` maps hosts for which the store is unreachable to the time at
     which that expires. ``chosen_for`` are the inputs from which ``role`` was last
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "services",
+        "tree",
         "role",
         "reading",
         "chosen_for",
@@ -41,6 +43,7 @@
 
     def __init__(self, services):
         self.services = services
+        self.tree = readers.Tree(())
         self.role = readers.Role(True, ())
         self.reading = asyncio.Event()
         self.chosen_for = None
@@ -67,13 +70,24 @@
             for target in known.values()
             if target.open and target.host not in skipped
         ]
-        tree = readers.Tree(targets, store_unreachable)
-        self.role = tree.role(proxy.address, proxy.domain)
+        self.tree = readers.Tree(targets, store_unreachable)
+        self.role = self.tree.role(proxy.address, proxy.domain)
         if self.role.reads:
             self.reading.set()
         else:
             self.reading.clear()
 
+    def announced_to(self):
+        """Return the targets whose proxies pass a change of this proxy's entry on.
+
+        These are the readers, and the leaders of its failure domain.
+        """
+        proxy = self.services.settings.proxy
+        chosen = self.tree.readers + self.tree.leaders(proxy.domain)
+        by_host = {target.host: target for target in [*chosen, *self.role.sources]}
+        by_host.pop(proxy.address, None)
+        return list(by_host.values())
+
     def rotated(self):
         """Return the targets whose proxies to ask, each time with another one first.
 
--- a/lentilrouter/proxy/state_messages.py
+++ b/lentilrouter/proxy/state_messages.py
@@ -25,7 +25,8 @@
     """A request of the proxy on ``host`` for the changes that it lacks.
 
     It has the operator's keys up to revision ``at``, the sheet ``version`` and the
-    proxies' keys up to revision ``entries_at``.
+    proxies' keys up to revision ``entries_at``. ``mark`` is that of the last update of
+    these keys that it got from the proxy that is asked.
 
     The response is a long poll: it is delayed for up to ``hold`` seconds until there
     are changes, or the state is known to be current at a later time.
@@ -36,11 +37,19 @@
     version: int
     entries_at: int
     hold: float
+    mark: tuple = (0, 0)
 
     def encode(self):
         """Return the body of the request."""
         return orjson.dumps(
-            [self.host, self.at, self.version, self.entries_at, round(self.hold, 3)]
+            [
+                self.host,
+                self.at,
+                self.version,
+                self.entries_at,
+                round(self.hold, 3),
+                list(self.mark),
+            ]
         )
 
 
@@ -85,10 +94,10 @@
 def decode_request(body):
     """Return the ``StateRequest`` in a body; raise ``ValueError`` if malformed."""
     row = orjson.loads(body)
-    kinds = [str, int, int, int, float]
+    kinds = [str, int, int, int, float, list]
     if not isinstance(row, list) or [type(f) for f in row] != kinds:
         raise ValueError(f"malformed state request: {row!r}"[:100])
-    return StateRequest(*row)
+    return StateRequest(*row[:-1], replicas.decode_mark(row[-1]))
 
 
 def decode_response(message):
--- a/tests/proxy/domain.py
+++ b/tests/proxy/domain.py
@@ -122,6 +122,9 @@
         """Record a log line."""
         self.lines.append((kind, fields))
 
+    def on_order(self, service):
+        """Do nothing; there is no steward."""
+
     def active_version(self):
         """Return the version of the active sheet, 0 for none."""
         return self.state.version()
--- a/tests/proxy/test_refreshing.py
+++ b/tests/proxy/test_refreshing.py
@@ -7,11 +7,13 @@
 
 from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
-from lentilrouter.proxy import kvstore as product_kvstore
+from lentilrouter.proxy import kvstore
 from tests.proxy import domain, doubles
 
 IN_FORCE_SECONDS = 2.0  # the shortest setting at the platform's sites
 SLOW_IN_FORCE_SECONDS = 2.5  # the setting at sites with links of 5 and 10 Mbit/s
+# Until a changed entry is known in a domain: less than the time of a hand-over.
+ANNOUNCED_SECONDS = 0.6
 LONG_SCAN_SECONDS = 0.6  # for 137 kB on 5 Mbit/s with as much other traffic
 
 
@@ -83,7 +85,33 @@
         await asyncio.sleep(0.4)
         for node in self.nodes:
             kinds = [type(change) for change in node.orders]
-            self.assertEqual(kinds, [product_kvstore.Item, product_kvstore.Removed])
+            self.assertEqual(kinds, [kvstore.Item, kvstore.Removed])
+
+    # Guards against: a changed entry that its proxy sends to every other one, and that
+    # crosses to other failure domains once for each host there.
+    async def test_entry_announced_to_leaders_reaches_all_without_store_calls(self):
+        changed = doubles.known_target("127.9.0.99")
+        key = "lentilrouter/targets/127.9.0.99"
+        calls = sum(node.store.calls for node in self.nodes[2:])
+        for leader in self.nodes[:2]:
+            leader.registry.catch_up([kvstore.Item(key, changed.encode(), 900)])
+        async with asyncio.timeout(ANNOUNCED_SECONDS):
+            while not all(
+                "127.9.0.99" in node.directory.by_host for node in self.nodes
+            ):
+                await asyncio.sleep(domain.POLL_SECONDS)
+        self.assertEqual(sum(node.store.calls for node in self.nodes[2:]), calls)
+
+    # Guards against: a steward that died and that others notice seconds later.
+    async def test_removed_key_of_a_steward_ends_the_long_polls(self):
+        key = "lentilrouter/stewards/ledger"
+        reader = self.nodes[0]
+        reader.registry.entries.apply(kvstore.Item(key, b"n1", 900))
+        await asyncio.sleep(0.3)
+        self.assertIn("ledger", self.nodes[-1].registry.stewards)
+        reader.registry.entries.apply(kvstore.Removed(key, 901))
+        await asyncio.sleep(0.3)
+        self.assertNotIn("ledger", self.nodes[-1].registry.stewards)
 
     # Guards against: state that becomes stale while nothing changes.
     async def test_state_stays_fresh_without_changes(self):
--- a/tests/proxy/test_registry.py
+++ b/tests/proxy/test_registry.py
@@ -28,8 +28,8 @@
     """The services that a registry needs, and a store with conditional writes.
 
     ``writes`` lists the expected revisions of each write. With ``lost``, writes take
-    effect but their result is unknown; with ``away``, they fail. ``broadcasts`` lists
-    the messages to other proxies, as path and body.
+    effect but their result is unknown; with ``away``, they fail. ``announced`` lists
+    the encoded items that were sent to other proxies.
     """
 
     def __init__(self):
@@ -37,8 +37,8 @@
         self.clock = lambda: self.now
         self.random = random.Random(3)
         self.settings = doubles.settings()
-        self.broadcasts = []
-        self.broadcast = lambda path, body: self.broadcasts.append((path, body))
+        self.announced = []
+        self.announce = self.announced.append
         self.lines = []
         self.log = types.SimpleNamespace(event=lambda k, **f: self.lines.append(k))
         self.bases = moves.Bases()
@@ -48,7 +48,7 @@
             stopping=False,
         )
         self.restorer = types.SimpleNamespace(restore=lambda target: None)
-        self.state = types.SimpleNamespace(note_urgent=lambda revision: None)
+        self.state = types.SimpleNamespace(note_entry_change=lambda urgent: None)
         self.items = {}
         self.revision = 30
         self.writes = []
@@ -90,10 +90,9 @@
         self.registry = self.services.registry
         self.own = self.registry.own
 
-    async def test_written_entry_is_broadcast_with_its_revision(self):
+    async def test_written_entry_is_announced_with_its_revision(self):
         self.assertTrue(await self.own.write())
-        ((path, body),) = self.services.broadcasts
-        self.assertEqual(path, exchange.CATCH_UP_PATH)
+        (body,) = self.services.announced
         (item,) = exchange.decode(body)
         self.assertEqual((item.key, item.revision), (KEY, 31))
         self.assertEqual(directory.decode(item.value), ENTRY)
@@ -114,7 +113,7 @@
         self.assertTrue(await self.own.write())
         self.assertEqual(self.own.written, self.own.desired())
         self.assertEqual(self.services.items[KEY].revision, 31)
-        self.assertEqual(len(self.services.broadcasts), 1)
+        self.assertEqual(len(self.services.announced), 1)
 
     # Guards against: store calls of a process that starts again beside a target that
     # has not changed.
