--- a/lentilrouter/proxy/counters.py
+++ b/lentilrouter/proxy/counters.py
@@ -98,7 +98,7 @@
         self.confirmations.observe(seconds)
 
     def count_store_call(self, kind, prefix):
-        """Count a call to the store by its kind and the prefix of keys that it reads."""
+        """Count a call to the store by its kind and the prefix that it reads."""
         self.store_calls.labels(kind, prefix).inc()
 
     def store_calls_by_kind(self):
