Abort the safe calls in flight at a target that is dead without a word

Change: a target that does not accept a connection is checked once more. If it accepts none again and answers no call meanwhile, the calls in flight that may run twice are aborted, so that their proxies send them to other targets, as far as the retry budget lets them. A full accept queue alone aborts nothing.

Tests: test_hosting (both directions), test_wire (abort).

--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -28,6 +28,9 @@
     when the target died.
 
     ``reservations`` maps the token of each reserved slot to its gate and ticket.
+    ``answered_at`` is when the target last answered a call, in monotonic seconds, and
+    ``silence_check`` the task that checks whether it is dead, ``None`` before the first
+    check.
     """
 
     __slots__ = (
@@ -37,6 +40,8 @@
         "evidence",
         "stopping",
         "reservations",
+        "answered_at",
+        "silence_check",
     )
 
     def __init__(self, services):
@@ -46,6 +51,8 @@
         self.evidence = evidence.Evidence()
         self.stopping = False
         self.reservations = {}
+        self.answered_at = 0.0
+        self.silence_check = None
 
     def handle_heartbeat(self, heartbeat):
         """Apply a ``liveness.Heartbeat``; return ``Accepted`` or ``Ignored``."""
@@ -259,8 +266,11 @@
             id=id.encode("latin-1") if id is not None else None,
             connect_seconds=min(CONNECT_SECONDS, left),
             reuse_seconds=None if hop.safe else REUSE_UNSAFE_SECONDS,
+            repeatable=hop.safe,
         )
         ended = services.clock()
+        if isinstance(result, messages.Replied):
+            self.answered_at = ended
         if isinstance(result, messages.NotSent):
             outcome = self._interpret_not_sent(result, target, left)
         else:
@@ -293,6 +303,8 @@
         conclusive = result.refused or left >= CONNECT_SECONDS
         if conclusive and self.liveness.target is target:
             self._mark_unresponsive(target, result.detail)
+            if not result.refused:
+                self._start_silence_check(target)
         refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
         return hops.Refused(refusal)
 
@@ -303,13 +315,42 @@
         """
         services = self.services
         address = services.settings.target.address
-        if not await services.target_client.refuses(address, CONNECT_SECONDS):
+        failure = await services.target_client.probe(address, CONNECT_SECONDS)
+        if failure is None:
+            return outcome
+        if not failure.refused:
+            self._start_silence_check(target)
             return outcome
         if self.liveness.target is target:
             self._mark_unresponsive(target, "died with calls in flight")
         services.report_crash(request, target)
         return dataclasses.replace(outcome, crashed=True)
 
+    def _start_silence_check(self, target):
+        """Check in the background whether a target is dead, unless that is done."""
+        if self.silence_check is None or self.silence_check.done():
+            loop = asyncio.get_running_loop()
+            self.silence_check = loop.create_task(self._check_silence(target))
+
+    async def _check_silence(self, target):
+        """Abort the calls in flight that may run twice, if a target is dead.
+
+        A target that has not accepted a connection may only have a full accept queue.
+        It is dead if it accepts none again and answers no call meanwhile. Its calls
+        would otherwise wait until their deadlines.
+        """
+        services = self.services
+        began = services.clock()
+        address = services.settings.target.address
+        failure = await services.target_client.probe(address, CONNECT_SECONDS)
+        current = self.liveness.target
+        replaced = (current.id, current.born) != (target.id, target.born)
+        if failure is None or replaced or self.answered_at >= began:
+            return
+        self._mark_unresponsive(target, failure.detail)
+        aborted = services.target_client.abort(address, "target does not respond")
+        services.log.event("target-dead", id=target.id, aborted=aborted)
+
     def _interpret_response(self, response, target, seconds, id):
         """Return ``Answered``, ``Failed`` or ``hops.Refused`` for a response.
 
--- a/lentilrouter/proxy/sending.py
+++ b/lentilrouter/proxy/sending.py
@@ -1,6 +1,7 @@
 """Send requests to targets, other proxies and the store over pooled connections."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 import time
@@ -28,11 +29,19 @@
     With ``tcp_keep_alive`` the kernel probes idle connections. With ``user_timeout_ms``
     it closes a connection whose bytes were not acknowledged within that time.
     ``idle_limit`` is how many seconds a connection may be idle before it is closed, if
-    the server states no other time. ``idle`` maps addresses to idle connections;
-    ``opened`` counts the connections that were opened or tried.
+    the server states no other time. ``idle`` maps addresses to idle connections,
+    ``repeatable`` to those with a request in flight that may be sent again; ``opened``
+    counts the connections that were opened or tried.
     """
 
-    __slots__ = ("idle", "tcp_keep_alive", "idle_limit", "opened", "user_timeout_ms")
+    __slots__ = (
+        "idle",
+        "repeatable",
+        "tcp_keep_alive",
+        "idle_limit",
+        "opened",
+        "user_timeout_ms",
+    )
 
     def __init__(
         self,
@@ -41,6 +50,7 @@
         user_timeout_ms=0,
     ):
         self.idle = {}
+        self.repeatable = collections.defaultdict(set)
         self.user_timeout_ms = user_timeout_ms
         self.idle_limit = idle_limit
         self.tcp_keep_alive = tcp_keep_alive
@@ -56,6 +66,7 @@
         confirmation=None,
         connect_seconds=None,
         reuse_seconds=None,
+        repeatable=False,
     ):
         """Send a request to ``IP:port`` and return an outcome within ``seconds``.
 
@@ -63,7 +74,7 @@
         ``Unheard``. ``id`` is the request id that the response must have, if it has
         one. ``confirmation`` is a ``connections.Confirmation``. ``connect_seconds``
         limits the time to open a connection, ``reuse_seconds`` how long a reused
-        connection may have been idle.
+        connection may have been idle. With ``repeatable``, ``abort`` ends the request.
         """
         end = time.monotonic() + seconds
         connection = self._reuse(address, reuse_seconds)
@@ -74,22 +85,37 @@
                 return connection
         data = framing.encode_request(request, address)
         self._set_user_timeout(connection, len(data))
-        outcome = await connection.exchange(
-            data, request.method, end - time.monotonic(), id, confirmation
-        )
+        if repeatable:
+            self.repeatable[address].add(connection)
+        try:
+            outcome = await connection.exchange(
+                data, request.method, end - time.monotonic(), id, confirmation
+            )
+        finally:
+            self.repeatable[address].discard(connection)
         self._release(address, connection)
         return outcome
 
-    async def refuses(self, address, seconds):
-        """Return whether a new connection to an address is refused.
+    def abort(self, address, detail):
+        """End the requests in flight to an address that may be sent again.
 
-        Return ``False`` if it fails in another way or takes longer than ``seconds``.
+        Each ends as ``Broken``. Return their number.
+        """
+        aborted = self.repeatable.pop(address, set())
+        for connection in aborted:
+            connection.abort(detail)
+        return len(aborted)
+
+    async def probe(self, address, seconds):
+        """Open a connection to an address within ``seconds``.
+
+        Return ``None`` if that succeeds, or else ``NotSent``.
         """
         connection = await self._connect(address, seconds)
         if isinstance(connection, messages.NotSent):
-            return connection.refused
+            return connection
         self._release(address, connection)
-        return False
+        return None
 
     def _reuse(self, address, reuse_seconds):
         """Return a usable idle connection to an address, or ``None``."""
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -18,18 +18,29 @@
 class StubClient:
     """Client with one preset result for all requests.
 
-    With ``refusing`` it reports new connections as refused.
+    New connections are accepted, or refused with ``refusing``, or time out. ``probes``
+    and ``aborted`` count the calls of these methods.
     """
 
     def __init__(self):
         self.result = None
+        self.accepting = True
         self.refusing = False
+        self.probes = 0
+        self.aborted = 0
 
     async def send(self, address, request, seconds, **options):
         return self.result
 
-    async def refuses(self, address, seconds):
-        return self.refusing
+    async def probe(self, address, seconds):
+        self.probes += 1
+        if self.accepting:
+            return None
+        return messages.NotSent("x", refused=self.refusing)
+
+    def abort(self, address, detail):
+        self.aborted += 1
+        return 1
 
     def drop(self, address):
         """Do nothing; there are no connections."""
@@ -89,7 +100,34 @@
         # Regression: a full accept queue counted as a crash, and three block a call.
         for refusing in (False, True):
             self.target_client.refusing = refusing
+            self.target_client.accepting = not refusing
             outcome = await self.run_call(messages.Broken("reset"), 1.0)
             self.assertIsInstance(outcome, outcomes.Unknown)
             self.assertEqual(outcome.crashed, refusing)
             self.assertEqual(len(self.crashed), int(refusing))
+
+    # Guards against: calls in flight at a target whose host lost power that wait until
+    # their deadlines, although they may be sent to another target.
+    async def test_calls_in_flight_at_a_dead_target_are_aborted(self):
+        self.target_client.accepting = False
+        for result in (messages.NotSent("connect: timed out"), messages.Broken("x")):
+            self.hosting.handle_heartbeat(
+                heartbeat(sequence=self.hosting.liveness.target.sequence + 1)
+            )
+            self.target_client.aborted = 0
+            await self.run_call(result, 1.0)
+            await self.hosting.silence_check
+            self.assertEqual(self.target_client.aborted, 1)
+            self.assertIs(self.hosting.liveness.state, liveness.State.SILENT)
+
+    # Guards against: calls that run well and are aborted because the accept queue of
+    # their target was full for a moment.
+    async def test_target_that_accepts_or_answers_again_keeps_its_calls(self):
+        await self.run_call(messages.NotSent("connect: timed out"), 1.0)
+        await self.hosting.silence_check
+        self.target_client.accepting = False
+        self.hosting.answered_at = time.monotonic() + 1.0
+        self.hosting._start_silence_check(self.hosting.liveness.target)
+        await self.hosting.silence_check
+        self.assertEqual(self.target_client.probes, 2)
+        self.assertEqual(self.target_client.aborted, 0)
--- a/tests/proxy/test_wire.py
+++ b/tests/proxy/test_wire.py
@@ -250,6 +250,16 @@
             % (id, size, body)
         )
 
+    async def test_abort_ends_only_requests_that_may_be_sent_again(self):
+        self.script = [(self.response(b"a", b"1"), False, 0.2)] * 2
+        aborted = asyncio.create_task(self.send(repeatable=True))
+        kept = asyncio.create_task(self.send())
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.client.abort(self.address, "dead"), 1)
+        self.assertIsInstance(await aborted, messages.Broken)
+        self.assertIsInstance(await kept, messages.Replied)
+        self.assertEqual(self.client.abort(self.address, "dead"), 0)
+
     # Guards against a new connection for each request.
     async def test_connection_is_reused(self):
         self.script = [(self.response(b"a", b"1"), False)] * 2
