Offer a call at a dead host again to targets that were full

Change: while an attempt is not confirmed, a target that had no room may be tried again at each check (0.2 s). A retry taken from the budget that reached no target is not paid twice.

Test: test_forwarding, failed before (1.9 s, no response), passes now.

--- a/lentilrouter/proxy/dispatching.py
+++ b/lentilrouter/proxy/dispatching.py
@@ -85,9 +85,11 @@
 
     ``goal`` is the time of its latency goal, counted from the caller's first attempt.
     ``size`` estimates the bytes of the request body and its response. ``tried`` has the
-    hosts that the call was sent to. ``arrivals`` counts ended attempts that reached or
-    may have reached a target, ``refusals`` those that were refused. ``attempts`` are in
-    flight; ``events`` has those that ended or whose confirmation is late.
+    hosts that the call was sent to, ``full`` those of them that had no room.
+    ``arrivals`` counts ended attempts that reached or may have reached a target,
+    ``refusals`` those that were refused. ``paid`` is true if a retry was taken from the
+    budget that has reached no target yet. ``attempts`` are in flight; ``events`` has
+    those that ended or whose confirmation is late.
     """
 
     request: messages.Request
@@ -99,6 +101,8 @@
     size: float = 0.0
     service: str = ""
     tried: set = dataclasses.field(default_factory=set)
+    full: set = dataclasses.field(default_factory=set)
+    paid: bool = False
     arrivals: int = 0
     refusals: int = 0
     attempts: set = dataclasses.field(default_factory=set)
@@ -119,6 +123,12 @@
             await self.waiter
         return self.events.popleft()
 
+    def reopen(self):
+        """Let the targets that had no room be tried again."""
+        self.tried -= self.full
+        self.full.clear()
+        self.refusals = 0
+
     def close(self):
         """Cancel every attempt that is still in flight."""
         for attempt in self.attempts:
@@ -167,6 +177,8 @@
         if attempt not in call.attempts:
             return Action.WAIT
         if not attempt.task.done():
+            # The attempt may be at a dead host, and others may have room by now.
+            call.reopen()
             return self._unless_in_flight(call, Action.RETRY)
         call.attempts.discard(attempt)
         if attempt.watch_task is not None:
@@ -175,6 +187,7 @@
         if isinstance(result, hops.Refused):
             return self._after_refusal(call, attempt.target, result)
         call.arrivals += 1
+        call.paid = False
         if isinstance(result, outcomes.Answered):
             self.services.crashes.clear_call(call.request)
         if _is_final(result):
@@ -209,11 +222,13 @@
         )
         if reason is outcomes.Reason.OVERLOADED:
             self.balancer.refused(target.host, services.clock())
+            call.full.add(target.host)
         elif reason in (outcomes.Reason.DRAINING, outcomes.Reason.UNREACHABLE):
             self.balancer.refused(target.host, services.clock(), LEAVING_SKIP_SECONDS)
         if isinstance(call.outcome, outcomes.NotRun):
             call.outcome = result.outcome
         call.arrivals += result.arrived
+        call.paid &= not result.arrived
         if call.refusals >= REFUSALS_MAX:
             return Action.WAIT
         action = Action.RETRY_REFUSED if result.arrived else Action.NEXT_TARGET
@@ -257,8 +272,10 @@
         target, last = self._choose(call, now)
         if target is None:
             return False
-        if is_retry and not self.budget.spend(call.service, self._proxy_count()):
-            return False
+        if is_retry and not call.paid:
+            if not self.budget.spend(call.service, self._proxy_count()):
+                return False
+            call.paid = True
         call.tried.add(target.host)
         attempt = Attempt(target)
 
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -155,6 +155,24 @@
         self.assertEqual(response.status, 200)
         self.assertLess(time.monotonic() - started, 0.6)
 
+    # Guards against: a call at a dead host that waits until its deadline, since each
+    # other target was full for a moment, and that holds up those sent behind it.
+    async def test_safe_call_at_a_dead_host_is_offered_again_to_targets_that_were_full(
+        self,
+    ):
+        await self.add_peer(mute=True)
+        full = await self.add_peer(refuses=True, work_seconds=0.05)
+        self.forwarder.balancer.loaded(
+            "127.0.7.3", hops.Load(9, 9, 6), time.monotonic()
+        )
+        started = time.monotonic()
+        call = asyncio.create_task(self.call())
+        await asyncio.sleep(upstream.CONFIRM_SECONDS + 0.1)
+        full.refuses = False
+        self.assertEqual((await call).status, 200)
+        self.assertLess(time.monotonic() - started, 1.0)
+        self.assertEqual(full.began, 1)
+
     # Guards against: an attempt whose response nobody needs any more occupies a slot.
     async def test_slower_of_two_attempts_is_cancelled_after_a_response(self):
         slow = await self.add_peer(confirm_seconds=LATE_SECONDS, work_seconds=1.0)
