Give calls to a target that started in the place of a stored one

Cause: after a loss of power each target runs under a new id within 0.4 s of its proxy's start, but gets calls only after its next heartbeat, up to 1.5 s later, and other proxies' calls still name the old id. Proxies without a sheet refused callers, who came back once within 0.25 s and were refused again.

Change: - A health check shows the id of the target that runs. If it is not the stored one, and no move of the service runs, it gets calls until its first heartbeat confirms it. - A call for an earlier target of the host runs at the present one if that is of the same version; the target's own id is expected of it. - A call waits for the first sheet after a start, for 0.5 s and 0.15 of its time at most.

--- a/lentilrouter/proxy/entry.py
+++ b/lentilrouter/proxy/entry.py
@@ -73,11 +73,11 @@
         """Return the entry that this proxy should have in the store, or ``None``.
 
         ``None`` also means that a stored entry should be removed. As long as no target
-        is known, the stored entry stays.
+        is known for sure, the stored entry stays.
         """
         hosting = self.services.hosting
         target = hosting.liveness.target
-        if target is None:
+        if target is None or (hosting.liveness.assumed and not hosting.stopping):
             return self.written
         if hosting.stopping and hosting.liveness.state is liveness.State.GONE:
             return None
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -1,5 +1,7 @@
 """Handle calls of the callers on this host: match a route, dispatch and respond."""
 
+import asyncio
+import contextlib
 import math
 
 from lentilrouter.core import outcomes
@@ -7,6 +9,10 @@
 from lentilrouter.proxy import dispatching, patience, probing, sheets, upstream
 
 RETRY_AFTER_SHARES = (0.1, 0.3)  # of the time left; callers wait up to 1/3 of it
+# Wait of a call for the first sheet: the time until others have sent it after a start,
+# and a share of the call's time left.
+SHEET_WAIT_SECONDS = 0.5
+SHEET_WAIT_SHARE = 0.15
 # Of the time in which a call may still start and meet its goal.
 RETRY_IN_TIME_SHARES = (0.2, 0.8)
 RETRY_AFTER_MIN_SECONDS = 0.01
@@ -52,6 +58,8 @@
         services = self.services
         started = request.arrived
         id = request.header(services.dialect.REQUEST_ID) or ""
+        if services.holder.sheet is None:
+            await self._wait_for_sheet(request)
         sheet = services.holder.sheet
         if sheet is None:
             return self._refuse(id, None, "no sheet is known yet", None)
@@ -81,6 +89,14 @@
         services.counters.count_outcome(route.name, outcome, seconds)
         return self._respond(call, outcome, seconds)
 
+    async def _wait_for_sheet(self, request):
+        """Wait a short while for the first sheet after the start of the process."""
+        left = self._stated_seconds(request) or 0.0
+        seconds = min(SHEET_WAIT_SECONDS, SHEET_WAIT_SHARE * left)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.services.holder.known.wait()
+
     def _no_route(self, id, host, path, sheet):
         """Return the response to a request that no route matches.
 
--- a/lentilrouter/proxy/holder.py
+++ b/lentilrouter/proxy/holder.py
@@ -1,5 +1,6 @@
 """Store the active sheet and compute deltas from earlier ones."""
 
+import asyncio
 import collections
 
 from lentilrouter.proxy import deltas
@@ -10,15 +11,16 @@
 class Holder:
     """Holder of the active sheet, which is ``None`` until one is known.
 
-    ``earlier`` maps version numbers to sheets that were active before.
-    ``encoded_deltas`` maps such numbers to the encoded delta to the active sheet, and 0
+    ``known`` is set once there is one. ``earlier`` maps version numbers to sheets that
+    were active before. ``encoded_deltas`` maps such numbers to the encoded delta to the active sheet, and 0
     to the complete sheet.
     """
 
-    __slots__ = ("sheet", "earlier", "encoded_deltas")
+    __slots__ = ("sheet", "known", "earlier", "encoded_deltas")
 
     def __init__(self):
         self.sheet = None
+        self.known = asyncio.Event()
         self.earlier = collections.OrderedDict()
         self.encoded_deltas = {}
 
@@ -30,6 +32,7 @@
             self.earlier.popitem(last=False)
         self.encoded_deltas = {}
         self.sheet = sheet
+        self.known.set()
 
     def delta_since(self, version):
         """Return the encoded delta from a version to the active sheet.
--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -28,6 +28,7 @@
     when the target died.
 
     ``reservations`` maps the token of each reserved slot to its gate and ticket.
+    ``earlier_ids`` are those of earlier targets on this host, of the same version.
     ``answered_at`` is when the target last answered a call, in monotonic seconds, and
     ``silence_check`` the task that checks whether it is dead, ``None`` before the first
     check.
@@ -40,6 +41,7 @@
         "evidence",
         "stopping",
         "reservations",
+        "earlier_ids",
         "answered_at",
         "silence_check",
     )
@@ -51,6 +53,7 @@
         self.evidence = evidence.Evidence()
         self.stopping = False
         self.reservations = {}
+        self.earlier_ids = set()
         self.answered_at = 0.0
         self.silence_check = None
 
@@ -69,13 +72,18 @@
         self._apply_change(before, result, "leave")
         return result
 
-    def restore(self, target, responsive=True):
+    def restore(self, target, responsive=True, running_id=""):
         """Use the stored entry of this host's earlier process if no target is known.
 
         Without ``responsive``, the target gets no calls before its next heartbeat.
+        ``running_id`` is the id of a target of the same version that runs in its place.
         """
         if self.liveness.target is None:
-            self.liveness.restore(target, self.services.clock())
+            now = self.services.clock()
+            if running_id:
+                self.earlier_ids.add(target.id)
+                target = dataclasses.replace(target, id=running_id)
+            self.liveness.restore(target, now, assumed=bool(running_id))
             if not responsive:
                 self.liveness.mark_unresponsive()
             self._apply_change(None, liveness.Accepted(True), "entry in the store")
@@ -102,6 +110,7 @@
         target = self.liveness.target
         if before is None or (before.id, before.born) != (target.id, target.born):
             if before is not None:
+                self._note_earlier_target(before, target)
                 self.gate.close(outcomes.Reason.UNREACHABLE)
                 self.services.target_client.drop(self.services.settings.target.address)
             self.gate = admission.Gate(target.slots)
@@ -121,6 +130,16 @@
         )
         self.services.target_changed()
 
+    def _note_earlier_target(self, before, target):
+        """Let calls for the target before this one run here if it is of its version.
+
+        Other proxies learn of the new target a little later.
+        """
+        if before.version == target.version:
+            self.earlier_ids.add(before.id)
+        else:
+            self.earlier_ids.clear()
+
     def stop(self):
         """Refuse new calls; running and queued calls continue."""
         self.stopping = True
@@ -232,7 +251,7 @@
         reasons, states = outcomes.Reason, liveness.State
         if target is None or self.liveness.state in (states.GONE, states.SILENT):
             return outcomes.NotRun(reasons.UNREACHABLE, "no target is here")
-        if hop.target != target.id:
+        if hop.target != target.id and hop.target not in self.earlier_ids:
             return outcomes.NotRun(reasons.UNREACHABLE, "another target is here")
         if self.stopping or self.liveness.state is states.DRAINING:
             return outcomes.NotRun(reasons.DRAINING, "target is leaving")
@@ -253,7 +272,7 @@
         headers = [
             *request.headers,
             (self.services.dialect.DEADLINE_MS, b"%d" % max(1, int(left * 1000))),
-            (self.services.dialect.EXPECTED_TARGET, hop.target.encode()),
+            (self.services.dialect.EXPECTED_TARGET, target.id.encode()),
             (self.services.dialect.CALLER, hop.caller.encode()),
         ]
         outgoing = messages.Request(
--- a/lentilrouter/proxy/liveness.py
+++ b/lentilrouter/proxy/liveness.py
@@ -69,7 +69,8 @@
     """Liveness of the local target. Does no I/O.
 
     Times are monotonic seconds. ``target`` is ``None`` until a target is known, and
-    ``warm_at`` is when it stops being slow after its start.
+    ``warm_at`` is when it stops being slow after its start. ``assumed`` is true if only
+    the id of the target is known, until its first heartbeat.
     """
 
     __slots__ = (
@@ -79,6 +80,7 @@
         "last_heartbeat_at",
         "warm_at",
         "pending_leave",
+        "assumed",
     )
 
     def __init__(self, settings):
@@ -88,6 +90,7 @@
         self.last_heartbeat_at = 0.0
         self.warm_at = 0.0
         self.pending_leave = None
+        self.assumed = False
 
     def handle_heartbeat(self, heartbeat, now):
         """Apply a ``Heartbeat``; return ``Accepted`` or ``Ignored``."""
@@ -97,7 +100,7 @@
             return Ignored(f"service {heartbeat.service} is not the local target's")
         if heartbeat.slots < 1:
             return Ignored(f"{heartbeat.slots} slots")
-        known = self.target
+        known = self._known_target(heartbeat)
         if known is not None and heartbeat.born < known.born:
             return Ignored(f"born {heartbeat.born} is before {known.born}")
         same = known is not None and (known.id, known.born) == (
@@ -108,6 +111,7 @@
             return Ignored(
                 f"sequence {heartbeat.sequence} is not above {known.sequence}"
             )
+        self.assumed = False
         previous = (self.state, known and dataclasses.replace(known, sequence=0))
         self.last_heartbeat_at = now
         # Draining and leaving are final: a later heartbeat of the same incarnation does
@@ -135,6 +139,13 @@
         current = (self.state, dataclasses.replace(self.target, sequence=0))
         return Accepted(current != previous)
 
+    def _known_target(self, heartbeat):
+        """Return the known target, as a heartbeat shows it if it was assumed."""
+        known = self.target
+        if not self.assumed or known.id != heartbeat.id:
+            return known
+        return dataclasses.replace(known, born=heartbeat.born, sequence=0)
+
     def handle_leave(self, leave, now):
         """Apply a ``Leave``; return ``Accepted`` or ``Ignored``.
 
@@ -152,10 +163,14 @@
         self._set_state(State.GONE)
         return Accepted(changed)
 
-    def restore(self, target, now):
-        """Use the stored entry of this host's earlier process if no target is known."""
+    def restore(self, target, now, assumed=False):
+        """Use the stored entry of this host's earlier process if no target is known.
+
+        With ``assumed``, the entry is of an earlier target, except for its id.
+        """
         if self.target is None:
             self.target = target
+            self.assumed = assumed
             self.last_heartbeat_at = now
             self.warm_at = now
             self._set_state(State.READY if target.ready else State.DRAINING)
--- a/lentilrouter/proxy/restoring.py
+++ b/lentilrouter/proxy/restoring.py
@@ -2,7 +2,8 @@
 
 The entry may be of a target that has ended meanwhile, as after a loss of power. A
 target that is stored as ready therefore gets calls only once a health check has shown
-its id. The next heartbeat makes that unnecessary.
+its id. If that is another one, a target has started in its place: it is taken to be of
+the same version, unless a move runs. The next heartbeat makes that unnecessary.
 """
 
 import asyncio
@@ -19,8 +20,9 @@
 class Restorer:
     """Restorer of the local target from its entry in the store.
 
-    ``services`` provides hosting, the sheet holder, dialect, target client, settings,
-    clock and log. ``task`` checks the target, ``None`` if there was nothing to check.
+    ``services`` provides hosting, bases, the sheet holder, dialect, target client,
+    settings, clock and log. ``task`` checks the target, ``None`` if there was nothing
+    to check.
     """
 
     __slots__ = ("services", "task")
@@ -53,7 +55,18 @@
         if services.hosting.liveness.target is not None:
             return
         services.log.event("target-checked", expected=target.id, found=found)
-        services.hosting.restore(target, responsive=found == target.id)
+        if found and found != target.id and self._is_version_certain(target):
+            services.hosting.restore(target, running_id=found)
+        else:
+            services.hosting.restore(target, responsive=found == target.id)
+
+    def _is_version_certain(self, target):
+        """Return whether all targets of a service run the version of ``target``."""
+        bases = self.services.bases
+        return (
+            bases.current(target.service) is None
+            and bases.base.get(target.service) == target.version
+        )
 
     async def _running_id(self, service):
         """Return the id of the target on this host, empty if it takes no calls.
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -131,3 +131,27 @@
         await self.hosting.silence_check
         self.assertEqual(self.target_client.probes, 2)
         self.assertEqual(self.target_client.aborted, 0)
+
+    # Guards against: a target that started in the place of another one, and whose calls
+    # are all refused until every other proxy knows its id.
+    async def test_call_for_an_earlier_target_of_the_same_version_runs(self):
+        self.hosting.handle_heartbeat(heartbeat(id="i-2", born=99))
+        outcome = await self.run_call(messages.Late("x"), 0.5)
+        self.assertIsInstance(outcome, outcomes.Unknown)
+        self.hosting.handle_heartbeat(heartbeat(id="i-3", born=100, version="v2"))
+        outcome = await self.run_call(messages.Late("x"), 0.5)
+        self.assertIsInstance(outcome, hops.Refused)
+
+    # Guards against: calls in flight at an assumed target that are refused or no longer
+    # counted once its first heartbeat has come.
+    async def test_first_heartbeat_of_an_assumed_target_keeps_its_gate(self):
+        restored = hosting.Hosting(self.services)
+        stored = self.hosting.liveness.target
+        restored.restore(stored, running_id="i-2")
+        gate = restored.gate
+        self.assertIs(restored.liveness.state, liveness.State.READY)
+        restored.handle_heartbeat(heartbeat(id="i-2", born=99))
+        self.assertIs(restored.gate, gate)
+        self.assertFalse(gate.closed)
+        self.assertEqual(restored.liveness.target.born, 99)
+        self.assertIn(stored.id, restored.earlier_ids)
