--- a/lentilrouter/proxy/holder.py
+++ b/lentilrouter/proxy/holder.py
@@ -12,8 +12,8 @@
     """Holder of the active sheet, which is ``None`` until one is known.
 
     ``known`` is set once there is one. ``earlier`` maps version numbers to sheets that
-    were active before. ``encoded_deltas`` maps such numbers to the encoded delta to the active sheet, and 0
-    to the complete sheet.
+    were active before. ``encoded_deltas`` maps such numbers to the encoded delta to the
+    active sheet, and 0 to the complete sheet.
     """
 
     __slots__ = ("sheet", "known", "earlier", "encoded_deltas")
