Learn the time that new calls have left while none is refused

Change: while no call on a route is refused for 3 s, all its calls are new, and the mean and the least of their time left are learned. Later, a call with less left than the least has waited for what it lacks of the mean.

--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -69,7 +69,7 @@
             return self._no_route(id, host, request.path, sheet)
         left = self._stated_seconds(request)
         timeout = route.timeout if left is None else min(route.timeout, left)
-        waited = self.patience.waited(route.name, left)
+        waited = self.patience.waited(route.name, left, started)
         call = dispatching.Call(
             request,
             route,
@@ -220,6 +220,7 @@
             seconds = services.random.uniform(*RETRY_AFTER_UNKNOWN_SECONDS)
         else:
             seconds = self.retry_after(call)
+            self.patience.note_refusal(call.route.name, services.clock())
         services.counters.count_refusal(str(reason or "no sheet"))
         services.log.request(
             "refused",
--- a/lentilrouter/proxy/patience.py
+++ b/lentilrouter/proxy/patience.py
@@ -1,49 +1,57 @@
 """Estimate how long a caller has waited before it sends a call. Does no I/O.
 
 A caller that was refused comes back with the rest of its time. Its call looks like a
-new one, but for its deadline. Where most calls on a route have the same time left, that
-is the time of a new call, and what a call lacks of it has passed already.
+new one, but for its deadline. While no call on a route is refused, all are new, and the
+times that they have left are learned. Later, what a call lacks of the usual time has
+passed already, if it has less left than any new call.
 """
 
-TOLERANCE_SECONDS = 0.002  # callers round the time left, which shrinks on the way
-USUAL_SHARE_MIN = 0.3  # of the calls; with less, there is no usual time
-FORGET_SHARE = 0.05  # of the calls; with less, the usual time was an exception
-SHARE_WEIGHT = 0.05  # of the newest call in the moving average
+CALM_SECONDS = 3.0  # without a refusal; then all callers that return have returned
+CALLS_MIN = 20  # learned, before an estimate is made
+MEAN_WEIGHT = 0.05  # of the newest call in the moving average
+RISE_WEIGHT = 0.01  # by which the least time left follows later calls
+TOLERANCE_SHARE = 0.02  # of the least time left; callers differ a little
 
 
-class UsualTime:
-    """The time left in seconds that new calls on a route usually have.
+class TimeLeft:
+    """The times in seconds that new calls on a route have left.
 
-    ``share`` is the moving average of the share of calls that have it.
+    ``calls`` counts those learned, ``mean`` is their moving average, ``least`` about
+    the least of them. ``refused_at`` is the time of the last refusal.
     """
 
-    __slots__ = ("seconds", "share")
+    __slots__ = ("calls", "mean", "least", "refused_at")
 
-    def __init__(self, seconds):
-        self.seconds = seconds
-        self.share = 1.0
+    def __init__(self):
+        self.calls = 0
+        self.mean = 0.0
+        self.least = 0.0
+        self.refused_at = -CALM_SECONDS
 
     def learn(self, left):
-        """Learn from a call with ``left`` seconds until its deadline."""
-        is_usual = abs(left - self.seconds) <= TOLERANCE_SECONDS
-        self.share += SHARE_WEIGHT * (is_usual - self.share)
-        if left > self.seconds + TOLERANCE_SECONDS or self.share < FORGET_SHARE:
-            self.seconds, self.share = left, USUAL_SHARE_MIN
+        """Learn from a new call."""
+        self.calls += 1
+        if self.calls == 1:
+            self.mean = self.least = left
+            return
+        self.mean += MEAN_WEIGHT * (left - self.mean)
+        self.least = min(left, self.least + RISE_WEIGHT * (left - self.least))
 
     def waited(self, left):
-        """Return the seconds that the caller of a call has waited before, 0 if new."""
-        missing = self.seconds - left
-        if missing <= TOLERANCE_SECONDS or self.share < USUAL_SHARE_MIN:
-            return 0.0
-        return missing
+        """Return the seconds that the caller of a call has waited before."""
+        is_new = left >= (1 - TOLERANCE_SHARE) * self.least
+        return 0.0 if is_new or self.calls < CALLS_MIN else self.mean - left
 
 
 class Patience:
     """Estimates for the calls of each route.
 
     >>> patience = Patience()
-    >>> [patience.waited("read", left) for left in (1.2, 1.2, 0.95)]
-    [0.0, 0.0, 0.25]
+    >>> for _ in range(CALLS_MIN):
+    ...     _ = patience.waited("read", 1.2, now=10.0)
+    >>> patience.note_refusal("read", now=11.0)
+    >>> patience.waited("read", 0.9, now=11.1)
+    0.3
     """
 
     __slots__ = ("routes",)
@@ -51,7 +59,7 @@
     def __init__(self):
         self.routes = {}
 
-    def waited(self, route, left):
+    def waited(self, route, left, now):
         """Return how long the caller of a new call has waited before, in seconds.
 
         ``left`` is the time in seconds until the deadline that the caller states,
@@ -59,8 +67,18 @@
         """
         if left is None:
             return 0.0
-        usual = self.routes.get(route)
-        if usual is None:
-            usual = self.routes[route] = UsualTime(left)
-        usual.learn(left)
-        return round(usual.waited(left), 4)
+        times = self._times(route)
+        if now - times.refused_at >= CALM_SECONDS:
+            times.learn(left)
+            return 0.0
+        return round(times.waited(left), 4)
+
+    def note_refusal(self, route, now):
+        """Record that a call on a route was refused."""
+        self._times(route).refused_at = now
+
+    def _times(self, route):
+        times = self.routes.get(route)
+        if times is None:
+            times = self.routes[route] = TimeLeft()
+        return times
--- a/tests/proxy/test_overload.py
+++ b/tests/proxy/test_overload.py
@@ -20,14 +20,16 @@
 CALLS_PER_SECOND = 320.0  # twice of what the slots can run
 SECONDS = 60.0
 GOAL_SECONDS = 0.3
-DEADLINE_SECONDS = 1.2
+DEADLINE_SECONDS = (1.02, 1.2)  # range; callers differ
+CALM_SECONDS = 5.0  # before the overload, at a tenth of its rate
 
 
 class Caller:
     """A caller with one call, sent again once if it is refused."""
 
-    def __init__(self, arrived):
+    def __init__(self, arrived, deadline):
         self.arrived = arrived
+        self.deadline = deadline
         self.attempts = 0
 
 
@@ -58,10 +60,12 @@
 
     def run(self):
         """Run all callers to their end."""
-        at = 0.0
+        at = -CALM_SECONDS
         while at < SECONDS:
-            at += self.random.expovariate(CALLS_PER_SECOND)
-            self.schedule(at, self.attempt, Caller(at))
+            rate = CALLS_PER_SECOND * (0.1 if at < 0 else 1.0)
+            at += self.random.expovariate(rate)
+            caller = Caller(at, at + self.random.uniform(*DEADLINE_SECONDS))
+            self.schedule(at, self.attempt, caller)
         while self.events:
             self.now, _, action, *arguments = heapq.heappop(self.events)
             action(*arguments)
@@ -74,8 +78,8 @@
     def attempt(self, caller):
         """Send the call of a caller to the gate."""
         caller.attempts += 1
-        left = caller.arrived + DEADLINE_SECONDS - self.now
-        waited = self.patience.waited("read", round(left, 3))
+        left = caller.deadline - self.now
+        waited = self.patience.waited("read", round(left, 3), self.now)
         goal = self.now + GOAL_SECONDS
         if self.first_attempt_counts:
             goal -= waited
@@ -99,6 +103,7 @@
             self.schedule(self.now + seconds, self.end, caller, ticket)
             return
         assert isinstance(outcome, outcomes.NotRun)
+        self.patience.note_refusal("read", self.now)
         left = ticket.deadline - self.now
         if caller.attempts > 1 or left <= 0:
             self.refused += 1
@@ -144,26 +149,43 @@
             self.assertGreater(served, 0.97 * capacity)
 
 
-class UsualTimeTests(unittest.TestCase):
+class TimeLeftTests(unittest.TestCase):
     """What the deadlines of calls on a route tell of their callers."""
 
-    def test_callers_with_various_deadlines_have_not_waited(self):
-        estimates, randomness = patience.Patience(), random.Random(5)
-        waited = [
-            estimates.waited("read", randomness.uniform(0.2, 2.0)) for _ in range(500)
-        ]
-        self.assertEqual(set(waited[50:]), {0.0})
-
-    def test_new_usual_time_is_learned(self):
-        estimates = patience.Patience()
-        for left in [1.2] * 50 + [0.8] * 100:
-            last = estimates.waited("read", left)
-        self.assertEqual(last, 0.0)
-        self.assertEqual(estimates.waited("read", 0.5), 0.3)
-
-    def test_single_long_deadline_is_forgotten(self):
-        estimates = patience.Patience()
-        for left in [1.2] * 50 + [9.0] + [1.2] * 100:
-            last = estimates.waited("read", left)
-        self.assertEqual(last, 0.0)
-        self.assertEqual(estimates.waited("read", 0.7), 0.5)
+    def setUp(self):
+        self.estimates = patience.Patience()
+        self.random = random.Random(5)
+
+    def call(self, now, *range_seconds):
+        """Return the estimate for a call with a random time left in a range."""
+        left = self.random.uniform(*range_seconds)
+        return self.estimates.waited("read", left, now)
+
+    # Guards against: callers with a short deadline that count as late.
+    def test_new_callers_with_various_deadlines_have_not_waited(self):
+        for _ in range(300):
+            self.assertEqual(self.call(0.0, 0.85, 1.0), 0.0)
+        self.estimates.note_refusal("read", 1.0)
+        waited = [self.call(1.0, 0.86, 1.0) for _ in range(300)]
+        self.assertEqual(max(waited), 0.0)
+
+    def test_callers_that_return_have_waited(self):
+        for _ in range(300):
+            self.call(0.0, 0.85, 1.0)
+        self.estimates.note_refusal("read", 1.0)
+        for _ in range(50):
+            self.assertAlmostEqual(self.call(1.0, 0.6, 0.6), 0.325, delta=0.05)
+
+    # Guards against: an estimate from the calls of callers that return.
+    def test_nothing_is_learned_while_calls_are_refused(self):
+        self.estimates.note_refusal("read", 0.0)
+        for _ in range(100):
+            self.assertEqual(self.call(1.0, 0.3, 1.0), 0.0)
+        self.assertEqual(self.estimates.routes["read"].calls, 0)
+
+    def test_shorter_and_longer_deadlines_are_learned(self):
+        for low, high in ((0.85, 1.0), (0.4, 0.5), (1.7, 2.0)):
+            for _ in range(1000):
+                self.call(0.0, low, high)
+            least = self.estimates.routes["read"].least
+            self.assertTrue(0.9 * low <= least <= high, (low, least))
