--- a/tests/proxy/test_path.py
+++ b/tests/proxy/test_path.py
@@ -6,6 +6,7 @@
 import unittest
 
 from lentilrouter.datapath import messages
+from lentilrouter.proxy import pruning
 from tests.proxy import doubles
 
 
@@ -243,6 +244,24 @@
             while not any('"target-gone"' in line for line in first.lines()):
                 await asyncio.sleep(0.1)
 
+    # Guards against: the entry of a host that is gone for good and stays in the store,
+    # as entries have no lease.
+    async def test_entry_of_a_dead_host_is_removed_from_the_store_by_others(self):
+        mesh = doubles.Mesh()
+        self.addCleanup(mesh.close)
+        mesh.store.put("op/config", doubles.config(7, doubles.route()))
+        await mesh.start(3)
+        dead = mesh.machines[-1]
+        dead.kill()
+        dead.target.close()
+        key = f"lentilrouter/targets/{dead.ip}"
+        seconds = pruning.SILENT_SECONDS + 3 * pruning.CHECK_SECONDS + 6.0
+        async with asyncio.timeout(seconds):
+            while mesh.store.value(key) is not None:
+                await asyncio.sleep(0.1)
+        kept = [mesh.store.value(f"lentilrouter/targets/{m.ip}") for m in mesh.machines]
+        self.assertEqual([value is not None for value in kept], [True, True, False])
+
 
 class CrashTests(unittest.IsolatedAsyncioTestCase):
     """A call that crashes each target that runs it, and that the caller repeats."""
--- a/tests/proxy/test_refreshing.py
+++ b/tests/proxy/test_refreshing.py
@@ -7,7 +7,7 @@
 
 from lentilrouter.core import clock
 from lentilrouter.platform import sheets as adapter
-from lentilrouter.proxy import kvstore
+from lentilrouter.proxy import kvstore, readers
 from tests.proxy import domain, doubles
 
 IN_FORCE_SECONDS = 2.0  # the shortest setting at the platform's sites
@@ -50,6 +50,12 @@
 class HealthyDomainTests(domain.DomainCase):
     """No proxy and no link fails."""
 
+    # Guards against: a herd of proxies that all read the store as they start together,
+    # as after a loss of power.
+    async def test_proxies_that_start_together_leave_the_store_to_the_leaders(self):
+        calls = [node.store.calls for node in self.nodes[readers.LEADERS :]]
+        self.assertEqual(calls, [0] * len(calls))
+
     # Guards against: bytes read and store calls per change that grow with the number of
     # proxies (85 proxies read 368 MB in 40 s).
     async def test_only_two_proxies_read_a_change_from_the_store(self):
@@ -61,9 +67,9 @@
             await asyncio.sleep(0.2)
         await self.wait_until_active(self.nodes, IN_FORCE_SECONDS)
         self.assert_current(self.nodes)
-        readers = [node for node in self.nodes if node.store.bytes]
-        self.assertLessEqual(len(readers), 2)
-        self.assertTrue(all(node.settings.proxy.link_mbps > 5 for node in readers))
+        reading = [node for node in self.nodes if node.store.bytes]
+        self.assertLessEqual(len(reading), readers.READERS)
+        self.assertTrue(all(node.settings.proxy.link_mbps > 5 for node in reading))
         self.assertEqual(sum(node.store.scans for node in self.nodes[2:]), 0)
 
     # Guards against: a proxy on a slow link that gets a version only after its link has
