--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -6,10 +6,9 @@
 from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
 from lentilrouter.moves import evidence
-from lentilrouter.proxy import admission, hops, liveness
+from lentilrouter.proxy import admission, hops, liveness, silence
 from lentilrouter.routing import slots
 
-CONNECT_SECONDS = 0.3  # the target is on this host, but its accept queue may be full
 # Longest idle time of a connection that is reused for an unsafe call: a target may drop
 # idle connections sooner than it states.
 REUSE_UNSAFE_SECONDS = 1.0
@@ -30,8 +29,7 @@
     ``reservations`` maps the token of each reserved slot to its gate and ticket.
     ``earlier_ids`` are those of earlier targets on this host, of the same version.
     ``answered_at`` is when the target last answered a call, in monotonic seconds, and
-    ``silence_check`` the task that checks whether it is dead, ``None`` before the first
-    check.
+    ``silence`` checks whether it is dead.
     """
 
     __slots__ = (
@@ -43,7 +41,7 @@
         "reservations",
         "earlier_ids",
         "answered_at",
-        "silence_check",
+        "silence",
     )
 
     def __init__(self, services):
@@ -55,7 +53,7 @@
         self.reservations = {}
         self.earlier_ids = set()
         self.answered_at = 0.0
-        self.silence_check = None
+        self.silence = silence.SilenceCheck(self)
 
     def handle_heartbeat(self, heartbeat):
         """Apply a ``liveness.Heartbeat``; return ``Accepted`` or ``Ignored``."""
@@ -283,7 +281,7 @@
             outgoing,
             left + RESPONSE_MARGIN_SECONDS,
             id=id.encode("latin-1") if id is not None else None,
-            connect_seconds=min(CONNECT_SECONDS, left),
+            connect_seconds=min(silence.CONNECT_SECONDS, left),
             reuse_seconds=None if hop.safe else REUSE_UNSAFE_SECONDS,
             repeatable=hop.safe,
         )
@@ -319,11 +317,11 @@
         within ``CONNECT_SECONDS``. If less than that was left for the call, a timeout
         does not show that the target is unresponsive.
         """
-        conclusive = result.refused or left >= CONNECT_SECONDS
+        conclusive = result.refused or left >= silence.CONNECT_SECONDS
         if conclusive and self.liveness.target is target:
-            self._mark_unresponsive(target, result.detail)
+            self.mark_unresponsive(target, result.detail)
             if not result.refused:
-                self._start_silence_check(target)
+                self.silence.start(target)
         refusal = outcomes.NotRun(outcomes.Reason.UNREACHABLE, result.detail)
         return hops.Refused(refusal)
 
@@ -334,42 +332,17 @@
         """
         services = self.services
         address = services.settings.target.address
-        failure = await services.target_client.probe(address, CONNECT_SECONDS)
+        failure = await services.target_client.probe(address, silence.CONNECT_SECONDS)
         if failure is None:
             return outcome
         if not failure.refused:
-            self._start_silence_check(target)
+            self.silence.start(target)
             return outcome
         if self.liveness.target is target:
-            self._mark_unresponsive(target, "died with calls in flight")
+            self.mark_unresponsive(target, "died with calls in flight")
         services.report_crash(request, target)
         return dataclasses.replace(outcome, crashed=True)
 
-    def _start_silence_check(self, target):
-        """Check in the background whether a target is dead, unless that is done."""
-        if self.silence_check is None or self.silence_check.done():
-            loop = asyncio.get_running_loop()
-            self.silence_check = loop.create_task(self._check_silence(target))
-
-    async def _check_silence(self, target):
-        """Abort the calls in flight that may run twice, if a target is dead.
-
-        A target that has not accepted a connection may only have a full accept queue.
-        It is dead if it accepts none again and answers no call meanwhile. Its calls
-        would otherwise wait until their deadlines.
-        """
-        services = self.services
-        began = services.clock()
-        address = services.settings.target.address
-        failure = await services.target_client.probe(address, CONNECT_SECONDS)
-        current = self.liveness.target
-        replaced = (current.id, current.born) != (target.id, target.born)
-        if failure is None or replaced or self.answered_at >= began:
-            return
-        self._mark_unresponsive(target, failure.detail)
-        aborted = services.target_client.abort(address, "target does not respond")
-        services.log.event("target-dead", id=target.id, aborted=aborted)
-
     def _interpret_response(self, response, target, seconds, id):
         """Return ``Answered``, ``Failed`` or ``hops.Refused`` for a response.
 
@@ -379,7 +352,7 @@
         not_run = response.header(self.services.dialect.NOT_RUN) is not None
         if not_run or response.status == 421:
             if response.status == 421 and self.liveness.target is target:
-                self._mark_unresponsive(target, "another target has the address")
+                self.mark_unresponsive(target, "another target has the address")
             reason = outcomes.Reason.OVERLOADED
             refusal = outcomes.NotRun(reason, f"target answered {response.status}")
             return hops.Refused(refusal, arrived=True)
@@ -390,7 +363,8 @@
         forwarded = messages.strip_hop_headers(response)
         return outcomes.Answered(forwarded, target.id, seconds)
 
-    def _mark_unresponsive(self, target, detail):
+    def mark_unresponsive(self, target, detail):
+        """Record, log and publish that the target is unresponsive, unless known."""
         if self.liveness.mark_unresponsive():
             self._apply_change(target, liveness.Accepted(True), detail)
 
--- a/lentilrouter/proxy/refreshing.py
+++ b/lentilrouter/proxy/refreshing.py
@@ -8,23 +8,15 @@
 import math
 
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import entry, hedging, kvstore, sources, state_messages
-
-# Shares of the time within which a new sheet must be in force at all proxies.
-WATCH_SHARE = 0.4  # longest watch; a store that takes longer counts as unresponsive
-# Watch after a response with changes: it proves freshness only as of its request.
-WATCH_AFTER_CHANGE_SHARE = 0.125
-# Greatest age of fresh state: two watches, the first ended by a change, on slow links.
-FRESH_SHARE = 0.75
-# Age of the state at which a proxy scans the store without waiting for others: first
-# those that the others ask.
-LEADER_SCAN_SHARE = 0.8
-OWN_SCAN_SHARE = 0.875
-# Age of the state at which a second proxy is asked beside the first.
-SECOND_SOURCE_SHARE = 0.55
-# Time by which a long poll at another proxy outlasts that proxy's watch, so that the
-# response includes the result of the next one.
-HOLD_MARGIN_SECONDS = 0.05
+from lentilrouter.proxy import (
+    entry,
+    hedging,
+    kvstore,
+    sources,
+    state_messages,
+    timing,
+)
+
 # Time allowed beyond a watch or a long poll; the response has some hundred bytes.
 RESPONSE_MARGIN_SECONDS = 0.25
 # Time allowed for the response to a state request without a long poll.
@@ -45,43 +37,14 @@
 READER_PAUSE_SECONDS = 0.8
 
 
-class Timing:
-    """Times in seconds that follow from the bound for a new sheet.
-
-    ``in_force_seconds`` is the longest time until a new sheet is in force.
-
-    >>> Timing(2.0).watch, Timing(3.0).fresh
-    (0.8, 2.25)
-    """
-
-    __slots__ = (
-        "watch",
-        "watch_after_change",
-        "hold",
-        "fresh",
-        "second_source_age",
-        "leader_scan_age",
-        "own_scan_age",
-    )
-
-    def __init__(self, in_force_seconds):
-        self.watch = WATCH_SHARE * in_force_seconds
-        self.watch_after_change = WATCH_AFTER_CHANGE_SHARE * in_force_seconds
-        self.hold = self.watch + HOLD_MARGIN_SECONDS
-        self.fresh = FRESH_SHARE * in_force_seconds
-        self.second_source_age = SECOND_SOURCE_SHARE * in_force_seconds
-        self.leader_scan_age = LEADER_SCAN_SHARE * in_force_seconds
-        self.own_scan_age = OWN_SCAN_SHARE * in_force_seconds
-
-
 class Refresher:
     """Keep the operator's state of this proxy current.
 
     ``services`` provides store, adapter, state, directory, peers, registry, settings,
     clocks, random and log. ``timing`` has the times that follow from the settings.
     ``sources`` chooses the proxies to ask, ``marks`` has the mark of the last update of
-    the proxies' keys from each of their hosts. ``source`` is where
-    the last fresh state came from: "store" or "proxy", empty before the first.
+    the proxies' keys from each of their hosts. ``source`` is where the last fresh state
+    came from: "store" or "proxy", empty before the first.
     ``watch_seconds`` is the duration of the next watch. ``scan_due`` is true if the
     next read of the store must be a scan, since a watch would bring too much.
     ``unavailable_since`` is the time by ``clock`` since which the store is unavailable,
@@ -105,7 +68,7 @@
 
     def __init__(self, services):
         self.services = services
-        self.timing = Timing(services.settings.promises.in_force_seconds)
+        self.timing = timing.Timing(services.settings.promises.in_force_seconds)
         self.state = services.state
         self.sources = sources.Sources(services)
         self.marks = {}
@@ -189,9 +152,9 @@
 
     def _own_scan_delay(self):
         """Return the seconds until this proxy scans the store itself."""
-        role, timing = self.sources.role, self.timing
+        role, times = self.sources.role, self.timing
         early = role.leads and not role.reads
-        return self._until(timing.leader_scan_age if early else timing.own_scan_age)
+        return self._until(times.leader_scan_age if early else times.own_scan_age)
 
     def _second_source_delay(self):
         """Return the seconds until a second proxy is asked."""
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -116,7 +116,7 @@
             )
             self.target_client.aborted = 0
             await self.run_call(result, 1.0)
-            await self.hosting.silence_check
+            await self.hosting.silence.task
             self.assertEqual(self.target_client.aborted, 1)
             self.assertIs(self.hosting.liveness.state, liveness.State.SILENT)
 
@@ -124,11 +124,11 @@
     # their target was full for a moment.
     async def test_target_that_accepts_or_answers_again_keeps_its_calls(self):
         await self.run_call(messages.NotSent("connect: timed out"), 1.0)
-        await self.hosting.silence_check
+        await self.hosting.silence.task
         self.target_client.accepting = False
         self.hosting.answered_at = time.monotonic() + 1.0
-        self.hosting._start_silence_check(self.hosting.liveness.target)
-        await self.hosting.silence_check
+        self.hosting.silence.start(self.hosting.liveness.target)
+        await self.hosting.silence.task
         self.assertEqual(self.target_client.probes, 2)
         self.assertEqual(self.target_client.aborted, 0)
 
