Choose whom to announce an entry to before the first refresh

Cause (found by reading): an entry written right after a start was announced to nobody, as the roles are chosen with the first refresh; others learned of it with a reader's watch, up to 2 s later. Test: test_sources.

--- a/lentilrouter/proxy/sources.py
+++ b/lentilrouter/proxy/sources.py
@@ -82,6 +82,7 @@
 
         These are the readers, and the leaders of its failure domain.
         """
+        self.choose()
         proxy = self.services.settings.proxy
         chosen = self.tree.readers + self.tree.leaders(proxy.domain)
         by_host = {target.host: target for target in [*chosen, *self.role.sources]}
--- a/tests/proxy/test_sources.py
+++ b/tests/proxy/test_sources.py
@@ -43,6 +43,12 @@
         self.assertTrue(self.sources.role.reads)
         self.assertEqual(self.sources_now(), [SECOND, THIRD])
 
+    # Guards against: an entry written right after a start and announced to nobody.
+    def test_own_entry_is_announced_to_readers_and_leaders_from_the_start(self):
+        fresh = sources.Sources(self.services)
+        hosts = [target.host for target in fresh.announced_to()]
+        self.assertEqual(sorted(hosts), [SECOND, THIRD])
+
     def due(self):
         """Return the skipped hosts that are asked again now."""
         return [target.host for target in self.sources.take_due()]
