Restore a target only from an entry that this host's own proxy wrote

Change: an entry names the proxy that wrote it; a proxy of another name or service does not restore from it. Before, only the expected id kept such calls from running.

Test: test_restoring, failed before, passes now.

--- a/lentilrouter/proxy/directory.py
+++ b/lentilrouter/proxy/directory.py
@@ -18,7 +18,7 @@
     ``born`` is the time the target started in milliseconds, ``sequence`` the sequence
     number of its last heartbeat. ``cold_seconds`` is the remaining warm-up time of the
     target when this was written, ``link_mbps`` the bandwidth of the host's link in
-    Mbit/s.
+    Mbit/s. ``proxy`` is the name of the host's proxy: another host may get the address.
     """
 
     id: str
@@ -34,6 +34,7 @@
     sequence: int = 0
     cold_seconds: float = 0.0
     link_mbps: float = 0.0
+    proxy: str = ""
 
     def encode(self):
         """Return the value to store, as JSON."""
--- a/lentilrouter/proxy/liveness.py
+++ b/lentilrouter/proxy/liveness.py
@@ -135,6 +135,7 @@
             sequence=heartbeat.sequence,
             cold_seconds=heartbeat.cold_seconds if not same else known.cold_seconds,
             link_mbps=proxy.link_mbps,
+            proxy=proxy.id,
         )
         current = (self.state, dataclasses.replace(self.target, sequence=0))
         return Accepted(current != previous)
--- a/lentilrouter/proxy/restoring.py
+++ b/lentilrouter/proxy/restoring.py
@@ -32,9 +32,16 @@
         self.task = None
 
     def restore(self, target):
-        """Restore a target unless one is known, at once if it takes no calls."""
+        """Restore a target unless one is known, at once if it takes no calls.
+
+        The target of another host, which had this address before, is not restored.
+        """
         if self.services.hosting.liveness.target is not None:
             return
+        own = self.services.settings
+        if (target.proxy, target.service) != (own.proxy.id, own.target.service):
+            self.services.log.event("entry-of-another-host", name=target.proxy)
+            return
         if not target.ready:
             self.services.hosting.restore(target)
         elif self.task is None:
--- a/tests/proxy/test_restoring.py
+++ b/tests/proxy/test_restoring.py
@@ -37,6 +37,7 @@
         self.now = 100.0
         self.restored = []
         self.target = doubles.known_target("127.0.0.1")
+        self.target.proxy = "n1"
 
     def restorer(self, found):
         """Return a restorer beside a target that shows the id ``found``."""
@@ -115,6 +116,16 @@
         await restorer.task
         self.assertEqual(self.restored, [])
 
+    # Guards against: calls of one service that run at a target of another one, whose
+    # host got the address of a host that is gone.
+    async def test_entry_of_another_host_is_not_restored(self):
+        for proxy, service in (("n7", "ledger"), ("n1", "other"), ("", "ledger")):
+            restorer = self.restorer("i-other")
+            self.target.proxy, self.target.service = proxy, service
+            restorer.restore(self.target)
+            self.assertIsNone(restorer.task)
+        self.assertEqual(self.restored, [])
+
     async def test_target_that_was_leaving_is_restored_at_once(self):
         restorer = self.restorer("i-other")
         self.target.ready = False
