Publish the entry of a target that was taken for another one's successor

Cause (found by reading): the first heartbeat of a target that got calls by its health check told nothing new to the liveness of the host, so its entry was never written: the store and all other proxies kept the id of the target before it. Calls ran, as an earlier id is accepted, but only while that process lived.

Change: such a heartbeat counts as a change; the gate and its calls stay. Test: test_hosting, failed before, passes now.

--- a/lentilrouter/proxy/hosting.py
+++ b/lentilrouter/proxy/hosting.py
@@ -59,7 +59,12 @@
         """Apply a ``liveness.Heartbeat``; return ``Accepted`` or ``Ignored``."""
         now = self.services.clock()
         before = self.liveness.target
+        was_assumed = self.liveness.assumed and before.id == heartbeat.id
         result = self.liveness.handle_heartbeat(heartbeat, now)
+        if was_assumed and isinstance(result, liveness.Accepted):
+            # The same target, of which more is known now.
+            before = dataclasses.replace(before, born=heartbeat.born)
+            result = liveness.Accepted(True)
         self._apply_change(before, result, f"heartbeat {heartbeat.sequence}")
         return result
 
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -52,6 +52,7 @@
     def setUp(self):
         self.target_client = StubClient()
         self.crashed = []
+        self.published = []
         self.services = types.SimpleNamespace(
             settings=doubles.settings(),
             clock=time.monotonic,
@@ -65,7 +66,7 @@
                 event=lambda *args, **fields: None,
                 request=lambda *args, **fields: None,
             ),
-            target_changed=lambda: None,
+            target_changed=lambda: self.published.append(True),
             report_crash=lambda request, target: self.crashed.append(target),
         )
         self.hosting = hosting.Hosting(self.services)
@@ -150,7 +151,9 @@
         restored.restore(stored, running_id="i-2")
         gate = restored.gate
         self.assertIs(restored.liveness.state, liveness.State.READY)
+        self.published.clear()
         restored.handle_heartbeat(heartbeat(id="i-2", born=99))
+        self.assertEqual(self.published, [True])
         self.assertIs(restored.gate, gate)
         self.assertFalse(gate.closed)
         self.assertEqual(restored.liveness.target.born, 99)
