--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -9,14 +9,14 @@
 from lentilrouter.proxy import dispatching, patience, probing, sheets, upstream
 
 RETRY_AFTER_SHARES = (0.1, 0.3)  # of the time left; callers wait up to 1/3 of it
-# Wait of a call for the first sheet: the time until others have sent it after a start,
-# and a share of the call's time left.
-SHEET_WAIT_SECONDS = 0.5
-SHEET_WAIT_SHARE = 0.15
 # Of the time in which a call may still start and meet its goal.
 RETRY_IN_TIME_SHARES = (0.2, 0.8)
 RETRY_AFTER_MIN_SECONDS = 0.01
 RETRY_AFTER_UNKNOWN_SECONDS = (0.05, 0.25)  # range if no deadline is known
+# Wait of a call for the first sheet: the time until others have sent it after a start,
+# and a share of the call's time left.
+SHEET_WAIT_SECONDS = 0.5
+SHEET_WAIT_SHARE = 0.15
 MEAN_WEIGHT = 0.1  # of the newest response in the moving averages of a route
 
 
@@ -28,7 +28,7 @@
 
     ``credits`` maps a route's name to the current weight of each of its services,
     ``response_bytes`` to the usual size of its responses, and ``run_seconds`` to their
-    usual run time.
+    usual run time. ``patience`` estimates how long callers have waited.
     """
 
     __slots__ = (
@@ -56,7 +56,6 @@
     async def handle(self, request):
         """Return the response to a caller's request."""
         services = self.services
-        started = request.arrived
         id = request.header(services.dialect.REQUEST_ID) or ""
         if services.holder.sheet is None:
             await self._wait_for_sheet(request)
@@ -67,10 +66,27 @@
         route = sheet.match(host, request.path)
         if route is None:
             return self._no_route(id, host, request.path, sheet)
+        call = self._build_call(request, route, id)
+        if services.crashes.is_blocked(request):
+            reason = outcomes.Reason.CRASHES_TARGETS
+            return self._refuse(id, call, "it took down several targets", reason)
+        call.service = self._choose_service(route)
+        services.counters.count_call(route.name)
+        outcome = await self.dispatcher.dispatch(call)
+        seconds = services.clock() - call.started
+        services.counters.count_outcome(route.name, outcome, seconds)
+        return self._respond(call, outcome, seconds)
+
+    def _build_call(self, request, route, id):
+        """Return the ``Call`` for a request on a route.
+
+        The goal counts from the caller's first attempt, as far as its deadline shows.
+        """
+        started = request.arrived
         left = self._stated_seconds(request)
         timeout = route.timeout if left is None else min(route.timeout, left)
         waited = self.patience.waited(route.name, left, started)
-        call = dispatching.Call(
+        return dispatching.Call(
             request,
             route,
             id,
@@ -79,15 +95,6 @@
             goal=started - waited + route.goal,
             size=len(request.body) + self.response_bytes.get(route.name, 0.0),
         )
-        if services.crashes.is_blocked(request):
-            reason = outcomes.Reason.CRASHES_TARGETS
-            return self._refuse(id, call, "it took down several targets", reason)
-        call.service = self._choose_service(route)
-        services.counters.count_call(route.name)
-        outcome = await self.dispatcher.dispatch(call)
-        seconds = services.clock() - started
-        services.counters.count_outcome(route.name, outcome, seconds)
-        return self._respond(call, outcome, seconds)
 
     async def _wait_for_sheet(self, request):
         """Wait a short while for the first sheet after the start of the process."""
--- a/tests/proxy/test_forwarding.py
+++ b/tests/proxy/test_forwarding.py
@@ -114,6 +114,22 @@
             self.assertGreater(float(response.header(b"retry-after")), 0.0)
         self.assertEqual(len(self.logged("sheet may be old")), 2)
 
+    # Guards against: callers that are refused twice while a proxy starts, as they come
+    # back before it has a sheet.
+    async def test_call_waits_a_short_while_for_the_first_sheet(self):
+        await self.add_peer(work_seconds=0.05)
+        sheet = self.services.holder.sheet
+        self.services.holder = holder.Holder()
+        started = time.monotonic()
+        refused = await self.call(deadline_ms=1000)
+        self.assertEqual(refused.status, 503)
+        limit = forwarding.SHEET_WAIT_SHARE * 1.0
+        self.assertLess(time.monotonic() - started, limit + 0.1)
+        call = asyncio.create_task(self.call())
+        await asyncio.sleep(0.1)
+        self.services.holder.put(sheet)
+        self.assertEqual((await call).status, 200)
+
     # Guards against: several calls to hosts on a slow link are lost, since each is
     # cancelled after 0.3 s for a retry and the retry budget allows only one.
     async def test_late_safe_calls_go_on_beyond_the_retry_budget(self):
