--- a/lentilrouter/proxy/entry.py
+++ b/lentilrouter/proxy/entry.py
@@ -9,8 +9,7 @@
 TARGETS_PREFIX = OWN_PREFIX + "targets/"
 BASES_PREFIX = OWN_PREFIX + "bases/"
 RETRY_SECONDS = (0.3, 0.9)  # random, so that proxies don't all retry at the same time
-# Greatest factor of the pause after repeated failures.
-BACKOFF_MAX = 4
+BACKOFF_MAX = 4  # greatest factor of the pause after repeated failures
 
 
 class OwnEntry:
--- a/lentilrouter/proxy/following.py
+++ b/lentilrouter/proxy/following.py
@@ -18,8 +18,8 @@
 # Longest time that a proxy of a new system looks for others before it reads the store
 # as one that is alone: time for their first heartbeats and entries.
 FIRST_START_SECONDS = 4.0
-EPOCH_BITS = 48  # of a random number that no two processes share
 FIRST_START_PAUSE_SECONDS = (0.6, 1.2)  # random, between two scans meanwhile
+EPOCH_BITS = 48  # of a random number that no two processes share
 
 
 class Follower:
--- a/lentilrouter/proxy/forwarding.py
+++ b/lentilrouter/proxy/forwarding.py
@@ -6,7 +6,7 @@
 
 from lentilrouter.core import outcomes
 from lentilrouter.datapath import messages
-from lentilrouter.proxy import dispatching, patience, probing, sheets, upstream
+from lentilrouter.proxy import dispatching, probing, sheets, upstream, waits
 
 RETRY_AFTER_SHARES = (0.1, 0.3)  # of the time left; callers wait up to 1/3 of it
 # Of the time in which a call may still start and meet its goal.
@@ -28,7 +28,7 @@
 
     ``credits`` maps a route's name to the current weight of each of its services,
     ``response_bytes`` to the usual size of its responses, and ``run_seconds`` to their
-    usual run time. ``patience`` estimates how long callers have waited.
+    usual run time. ``waits`` estimates how long callers have waited.
     """
 
     __slots__ = (
@@ -37,7 +37,7 @@
         "budget",
         "dispatcher",
         "credits",
-        "patience",
+        "waits",
         "response_bytes",
         "run_seconds",
     )
@@ -49,7 +49,7 @@
         prober = probing.Prober(services, balancer)
         self.dispatcher = dispatching.Dispatcher(services, balancer, budget, prober)
         self.credits = {}
-        self.patience = patience.Patience()
+        self.waits = waits.Waits()
         self.response_bytes = {}
         self.run_seconds = {}
 
@@ -85,7 +85,7 @@
         started = request.arrived
         left = self._stated_seconds(request)
         timeout = route.timeout if left is None else min(route.timeout, left)
-        waited = self.patience.waited(route.name, left, started)
+        waited = self.waits.waited(route.name, left, started)
         return dispatching.Call(
             request,
             route,
@@ -227,7 +227,7 @@
             seconds = services.random.uniform(*RETRY_AFTER_UNKNOWN_SECONDS)
         else:
             seconds = self.retry_after(call)
-            self.patience.note_refusal(call.route.name, services.clock())
+            self.waits.note_refusal(call.route.name, services.clock())
         services.counters.count_refusal(str(reason or "no sheet"))
         services.log.request(
             "refused",
--- a/lentilrouter/proxy/patience.py
+++ b/lentilrouter/proxy/waits.py
@@ -43,14 +43,14 @@
         return 0.0 if is_new or self.calls < CALLS_MIN else self.mean - left
 
 
-class Patience:
+class Waits:
     """Estimates for the calls of each route.
 
-    >>> patience = Patience()
+    >>> waits = Waits()
     >>> for _ in range(CALLS_MIN):
-    ...     _ = patience.waited("read", 1.2, now=10.0)
-    >>> patience.note_refusal("read", now=11.0)
-    >>> patience.waited("read", 0.9, now=11.1)
+    ...     _ = waits.waited("read", 1.2, now=10.0)
+    >>> waits.note_refusal("read", now=11.0)
+    >>> waits.waited("read", 0.9, now=11.1)
     0.3
     """
 
--- a/tests/proxy/test_overload.py
+++ b/tests/proxy/test_overload.py
@@ -12,7 +12,7 @@
 import unittest
 
 from lentilrouter.core import outcomes
-from lentilrouter.proxy import admission, forwarding, patience, upstream
+from lentilrouter.proxy import admission, forwarding, upstream, waits
 from lentilrouter.routing import slots
 
 SLOTS = 18
@@ -46,7 +46,7 @@
         self.first_attempt_counts = first_attempt_counts
         self.random = random.Random(7)
         self.gate = admission.Gate(SLOTS)
-        self.patience = patience.Patience()
+        self.waits = waits.Waits()
         self.now = 0.0
         self.forwarder = forwarding.Forwarder(
             types.SimpleNamespace(clock=lambda: self.now, random=self.random),
@@ -79,7 +79,7 @@
         """Send the call of a caller to the gate."""
         caller.attempts += 1
         left = caller.deadline - self.now
-        waited = self.patience.waited("read", round(left, 3), self.now)
+        waited = self.waits.waited("read", round(left, 3), self.now)
         goal = self.now + GOAL_SECONDS
         if self.first_attempt_counts:
             goal -= waited
@@ -103,7 +103,7 @@
             self.schedule(self.now + seconds, self.end, caller, ticket)
             return
         assert isinstance(outcome, outcomes.NotRun)
-        self.patience.note_refusal("read", self.now)
+        self.waits.note_refusal("read", self.now)
         left = ticket.deadline - self.now
         if caller.attempts > 1 or left <= 0:
             self.refused += 1
@@ -153,7 +153,7 @@
     """What the deadlines of calls on a route tell of their callers."""
 
     def setUp(self):
-        self.estimates = patience.Patience()
+        self.estimates = waits.Waits()
         self.random = random.Random(5)
 
     def call(self, now, *range_seconds):
