Restore three checks, and answer a request without news without a scan of the keys

(1) The test that a full accept queue proves no crash let the second connection succeed instead of time out. (2) The tests of readers ran with 350 hosts of a domain instead of 1,750, with a wider bound, while CAPACITY.md names them for 1,750. (3) The malformed state messages were all of the old form. (4) Each response to a state request looked at every key counted: with N hosts and 32 requests a second 32 N looks, nearly all for nothing.

Change: the checks are as strict as before, and the messages are of the new form too; a request whose mark is the replica's own is answered at once.

--- a/lentilrouter/proxy/replicas.py
+++ b/lentilrouter/proxy/replicas.py
@@ -195,6 +195,9 @@
         That replica misses changes after revision ``since``, or after the state that
         ``mark`` identifies, if that is one of this replica.
         """
+        if mark == self.mark and self.epoch:
+            # Most requests find nothing new; the keys are many.
+            return Update(self.at, False, [], [], self.mark)
         if mark[0] == self.epoch != 0:
             keys = {key for key, count in self.counted.items() if count > mark[1]}
         elif since < self.removals_since:
--- a/tests/proxy/test_hosting.py
+++ b/tests/proxy/test_hosting.py
@@ -99,9 +99,9 @@
 
     async def test_only_a_refused_connection_proves_a_crash(self):
         # Regression: a full accept queue counted as a crash, and three block a call.
-        for refusing in (False, True):
+        for accepting, refusing in ((True, False), (False, False), (False, True)):
             self.target_client.refusing = refusing
-            self.target_client.accepting = not refusing
+            self.target_client.accepting = accepting
             outcome = await self.run_call(messages.Broken("reset"), 1.0)
             self.assertIsInstance(outcome, outcomes.Unknown)
             self.assertEqual(outcome.crashed, refusing)
--- a/tests/proxy/test_operator_state.py
+++ b/tests/proxy/test_operator_state.py
@@ -207,10 +207,16 @@
         bodies += [b"[1,0.1,0.1,true,[1],[],1,false,null]"]
         bodies += [b"[1,0.1,0.1,true,[],[[1]],1,false,null]"]
         bodies += [b"[1,0.1,0.1,true,[],[],1,0,null]"]
+        update = b"[1,false,[],[],[0,0]]"
+        bodies += [b"[0.1,0.1,%s,[],1,false,null]" % update]
+        bodies += [b"[0.1,0.1,%s,%s,1,0,null]" % (update, update)]
+        bodies += [b"[1,0.1,%s,%s,1,false,null]" % (update, update)]
+        bodies += [b"[0.1,0.1,[1,false,[1],[],[0,0]],%s,1,false,null]" % update]
         for body in bodies:
             with self.subTest(body=body), self.assertRaises(ValueError):
                 state_messages.decode_response(messages.Response(200, [], body))
-        for body in (b"", b"[1,2,3]", b'["a",1,0.5]'):
+        requests = (b'["h",1,2,3,0.5]', b'["h",1,2,3,0.5,[1]]', b"[1,1,2,3,0.5,[0,0]]")
+        for body in (b"", b"[1,2,3]", b'["a",1,0.5]', *requests):
             with self.subTest(body=body), self.assertRaises(ValueError):
                 state_messages.decode_request(body)
 
--- a/tests/proxy/test_readers.py
+++ b/tests/proxy/test_readers.py
@@ -38,7 +38,8 @@
     # Guards against: a number of store calls that grows with the number of proxies or
     # of failure domains.
     def test_two_read_the_store_at_any_size(self):
-        for targets in (domain(2), domain(3), domain(28), fleet(3), fleet(40)):
+        fleets = (domain(2), domain(3), domain(28), domain(85), domain(1750))
+        for targets in (*fleets, fleet(3), fleet(40)):
             with self.subTest(count=len(targets)):
                 roles = self.roles(targets)
                 reading = [host for host, role in roles.items() if role.reads]
@@ -53,7 +54,7 @@
 
     # Guards against: proxies that ask one another in a cycle, none of them a reader.
     def test_every_proxy_reaches_a_reader_through_two_others_at_most(self):
-        for targets in (domain(350), fleet(350)):
+        for targets, steps_max in ((domain(1750), 2), (fleet(350), 3)):
             roles = self.roles(targets)
             asked = dict.fromkeys(roles, 0)
             for host in roles:
@@ -61,11 +62,12 @@
                 while not roles[host].reads:
                     host = roles[host].sources[0].host
                     steps += 1
-                self.assertLessEqual(steps, 3)
+                self.assertLessEqual(steps, steps_max)
             for role in roles.values():
                 for source in role.sources[:1] if not role.reads else ():
                     asked[source.host] += 1
-            leaders = readers.LEADERS * len({each.domain for each in targets})
+            domains = len({each.domain for each in targets})
+            leaders = readers.LEADERS * domains if domains > 1 else 0
             self.assertLessEqual(max(asked.values()), readers.FANOUT + leaders)
 
     # Guards against: every proxy of a domain whose requests cross to another domain.
