Show that a rolling restart cuts long uploads that a stopping proxy still took

Two machines get SIGTERM a second apart. The first one goes on to take calls of other proxies for 1.5 s and cuts those that run longer than 4 s at its end; the second one answers 504 for them while their workers are at work.

--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -12,6 +12,7 @@
 BEAT_SECONDS = 1.5
 POISON = "/poison"  # a path that ends so crashes the worker that runs the request
 DOWN_SECONDS = 3.0  # after a crash
+LONG = "/long"  # a path that ends so has a long run
 NUMBERS = itertools.count(1)
 
 
@@ -31,6 +32,7 @@
         self.slots = asyncio.Semaphore(slots)
         self.slot_count = slots
         self.work_seconds = work_seconds
+        self.long_seconds = work_seconds
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
@@ -117,7 +119,8 @@
             if target.endswith(POISON):
                 run["ended"] = "crashed"
                 asyncio.get_running_loop().call_soon(self.crash)
-            await asyncio.sleep(self.work_seconds)
+            long = target.endswith(LONG)
+            await asyncio.sleep(self.long_seconds if long else self.work_seconds)
             run["ended"] = "200"
         signed = {**echo, "X-Server-Stamp": f"{self.id}.{id}", **self._load()}
         return 200, signed, f"answer to {id}".encode()
