End the processes of a case also if it is stopped by a signal

SIGTERM to review/N/run.sh left the proxies that it had started. The harness now cancels the case on SIGTERM, SIGINT and SIGHUP, ends all processes, and exits with 2. Each of the five cases was stopped after 2 s and after 12 s: no process was left, exit status 2.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -256,6 +256,10 @@
     record(f"disruption: {'yes' if trouble else 'no'}")
 
     async def run():
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            # The processes that were started must end also if the case is stopped.
+            loop.add_signal_handler(number, task.cancel)
         fleet = Fleet(record)
         try:
             async with asyncio.timeout(110):
@@ -265,7 +269,7 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as error:  # whatever it is, the case did not run
+    except (Exception, asyncio.CancelledError) as error:  # the case did not run
         record(f"the case could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
