Show that a payment runs twice after a late copy of an answer

A copy without a request id is taken for the answer to the payment that follows on the connection, and its X-Not-Run for the promise that the payment did not run: it is sent to the other worker and runs there again.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -139,6 +139,7 @@
             "slots": slots,
             "queue": queue,
             "log": str(deployment.folder / f"worker-{number}.jsonl"),
+            "extra": str(deployment.folder / f"worker-{number}-is-faulty"),
         }
         self.proxy = self.worker = None
 
--- a/review/stand_ins_2/http1.py
+++ b/review/stand_ins_2/http1.py
@@ -67,12 +67,15 @@
 async def serve(address, handle):
     """Listen on ``IP:port``; ``handle(request)`` returns status, headers and body.
 
-    If the other side closes the connection, ``handle`` is cancelled.
+    If the other side closes the connection, ``handle`` is cancelled. A fourth value is
+    sent when the next request of the connection arrives, before its response.
     """
 
     async def connection(reader, writer):
+        late = b""
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_request(reader)) is not None:
+                writer.write(late)
                 task = asyncio.ensure_future(handle(request))
                 ahead = asyncio.ensure_future(_read_ahead(reader))
                 await asyncio.wait([task, ahead], return_when=asyncio.FIRST_COMPLETED)
@@ -82,7 +85,8 @@
                     break
                 if task.cancelled():
                     break
-                writer.write(encode(*task.result()))
+                status, headers, body, late = (*task.result(), b"")[:4]
+                writer.write(encode(status, headers, body))
                 await writer.drain()
                 first = await ahead
                 if not first:
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -1,9 +1,13 @@
 """Stand-in of a worker, as PROTOCOL.md describes it; a process of its own.
 
 Usage: ``worker.py OPTIONS``, with a JSON object of ``id``, ``addr``, ``control``,
-``service``, ``version``, ``zone``, ``slots``, ``queue`` and ``log``. It writes a line
-of JSON to the file ``log`` for each request that arrives, runs, ends or is dropped. A
-request whose path has a part ``wN`` runs for N ms.
+``service``, ``version``, ``zone``, ``slots``, ``queue``, ``log`` and ``extra``. It
+writes a line of JSON to the file ``log`` for each request that arrives, runs, ends or
+is dropped. A request whose path has a part ``wN`` runs for N ms.
+
+If the file ``extra`` exists, the worker is faulty: it sends a second copy of some
+answers, late, at the point where the next response is expected. It does so with answers
+to requests without an id, and with at most one in 50 of all its answers.
 """
 
 import asyncio
@@ -16,6 +20,7 @@
 import http1
 
 BEAT_SECONDS = 1.5
+EXTRA_EVERY = 50  # answers for each one that is sent twice
 
 
 class Worker:
@@ -26,6 +31,7 @@
         self.id = options["id"]
         self.slots = asyncio.Semaphore(options["slots"])
         self.running = self.waiting = self.sequence = 0
+        self.answers = self.extras = 0
         self.born = int(time.time() * 1000)
         self.log = pathlib.Path(options["log"])
 
@@ -40,12 +46,27 @@
         return f"{self.running},{self.waiting},{self.options['slots']}"
 
     async def handle(self, request):
+        """Return the response to a request, and what follows it late."""
+        response = await self.respond(request)
+        self.answers += 1
+        spoiled = (
+            not request.headers.get("x-request-id")
+            and pathlib.Path(self.options["extra"]).exists()
+            and (self.extras + 1) * EXTRA_EVERY <= self.answers
+        )
+        if not spoiled:
+            return response
+        self.extras += 1
+        self.note("extra", "", status=response[0], answers=self.answers)
+        return (*response, http1.encode(*response))
+
+    async def respond(self, request):
         """Return status, headers and body of the response to a request."""
         load = ("X-Instance-Load", self.load())
         if request.target == "/healthz":
             return 200, [("X-Instance-Id", self.id), load], b""
         id = request.headers.get("x-request-id", "")
-        echo = [("X-Request-Id", id), load]
+        echo = [("X-Request-Id", id), load] if id else [load]
         not_run = [*echo, ("X-Not-Run", "1")]
         if not id:
             return 400, not_run, b""
