--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -111,7 +111,7 @@
 class Machine:
     """A machine: one proxy and one worker at a loopback address."""
 
-    def __init__(self, deployment, number, service, zone, slots, queue):
+    def __init__(self, deployment, number, service, zone, slots, queue, **options):
         self.deployment = deployment
         self.ip = f"127.{20 + os.getpid() % 200}.{number}.1"
         self.name = f"app_node-{zone}-{number}"
@@ -140,6 +140,7 @@
             "queue": queue,
             "log": str(deployment.folder / f"worker-{number}.jsonl"),
             "extra": str(deployment.folder / f"worker-{number}-is-faulty"),
+            **options,
         }
         self.proxy = self.worker = None
 
@@ -211,14 +212,24 @@
         """Start the store, and machines of ``(service, zone, slots, queue)``."""
         await self.store.start(self.store_address)
         self.store.put("op/config", config)
-        for number, spec in enumerate(specs, 1):
-            machine = Machine(self, number, *spec)
+        await self.add(specs)
+
+    async def add(self, specs, **options):
+        """Add machines, with ``options`` of their workers; wait until they are known.
+
+        Return them.
+        """
+        added = []
+        for spec in specs:
+            machine = Machine(self, len(self.machines) + 1, *spec, **options)
             self.machines.append(machine)
+            added.append(machine)
             machine.start_worker()
             machine.start_proxy()
-        for machine in self.machines:
+        for machine in added:
             await machine.until_ready()
         await asyncio.sleep(5.0)
+        return added
 
     def close(self):
         """End all processes that were started."""
--- a/review/stand_ins_2/http1.py
+++ b/review/stand_ins_2/http1.py
@@ -68,7 +68,8 @@
     """Listen on ``IP:port``; ``handle(request)`` returns status, headers and body.
 
     If the other side closes the connection, ``handle`` is cancelled. A fourth value is
-    sent when the next request of the connection arrives, before its response.
+    sent when the next request of the connection arrives, before its response. With the
+    status 0 the body is sent as it is, and the connection is closed.
     """
 
     async def connection(reader, writer):
@@ -86,8 +87,10 @@
                 if task.cancelled():
                     break
                 status, headers, body, late = (*task.result(), b"")[:4]
-                writer.write(encode(status, headers, body))
+                writer.write(encode(status, headers, body) if status else body)
                 await writer.drain()
+                if not status:
+                    break
                 first = await ahead
                 if not first:
                     break
--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -33,8 +33,12 @@
         self.server = await http1.serve(address, self.handle)
 
     def put(self, key, value, lease=0):
-        """Write a key; return the revision."""
+        """Write a key as one change; return the revision."""
         self.revision += 1
+        self._put(key, value, lease)
+        return self.revision
+
+    def _put(self, key, value, lease):
         created = self.items.get(key, {}).get("created_rev", self.revision)
         text = base64.b64encode(value).decode()
         self.items[key] = {
@@ -45,12 +49,15 @@
             "lease": lease,
         }
         self._record(self.items[key])
-        return self.revision
 
     def delete(self, key):
-        """Remove a key."""
-        if self.items.pop(key, None) is not None:
+        """Remove a key as one change."""
+        if key in self.items:
             self.revision += 1
+            self._delete(key)
+
+    def _delete(self, key):
+        if self.items.pop(key, None) is not None:
             self._record({"key": key, "rev": self.revision, "compacted": True})
 
     def value(self, key):
@@ -71,8 +78,10 @@
 
     def _end_lease(self, lease):
         self.leases.pop(lease, None)
-        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
-            self.delete(key)
+        keys = [key for key, item in self.items.items() if item["lease"] == lease]
+        self.revision += bool(keys)
+        for key in keys:
+            self._delete(key)
 
     async def handle(self, request):
         """Return status, headers and body of the response to a request."""
@@ -139,11 +148,13 @@
                 return 403, {}
         if any(put.get("lease", 0) not in (0, *self.leases) for put in puts):
             return 404, {}
+        # All entries of a call are one change.
+        self.revision += bool(puts or deletes)
         for put in puts:
             value = base64.b64decode(put["value"])
-            self.put(put["key"], value, put.get("lease", 0))
+            self._put(put["key"], value, put.get("lease", 0))
         for key in deletes:
-            self.delete(key)
+            self._delete(key)
         return 200, {"rev": self.revision}
 
     def _kv_lease(self, path, options, data):
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -3,7 +3,8 @@
 Usage: ``worker.py OPTIONS``, with a JSON object of ``id``, ``addr``, ``control``,
 ``service``, ``version``, ``zone``, ``slots``, ``queue``, ``log`` and ``extra``. It
 writes a line of JSON to the file ``log`` for each request that arrives, runs, ends or
-is dropped. A request whose path has a part ``wN`` runs for N ms.
+is dropped. A request whose path has a part ``wN`` runs for N ms. With the option
+``truncates`` N, it breaks off each Nth of its answers to requests that ran.
 
 If the file ``extra`` exists, the worker is faulty: it sends a second copy of some
 answers, late, at the point where the next response is expected. It does so with answers
@@ -31,7 +32,7 @@
         self.id = options["id"]
         self.slots = asyncio.Semaphore(options["slots"])
         self.running = self.waiting = self.sequence = 0
-        self.answers = self.extras = 0
+        self.answers = self.extras = self.ran = 0
         self.born = int(time.time() * 1000)
         self.log = pathlib.Path(options["log"])
 
@@ -110,9 +111,15 @@
         except asyncio.CancelledError:
             self.note("dropped", id, state=state)
             raise
-        self.note("done", id)
+        self.ran += 1
+        every = self.options.get("truncates", 0)
+        truncated = bool(every) and self.ran % every == 0
+        self.note("done", id, truncated=truncated)
         body = f"answer of {self.id} to {id}".encode()
-        return 200, [*echo, ("X-Server-Stamp", f"stamp-{id}")], body
+        headers = [*echo, ("X-Server-Stamp", f"stamp-{id}")]
+        if truncated:
+            return 0, [], http1.encode(200, headers, body)[: -len(body) // 2]
+        return 200, headers, body
 
     async def beat(self):
         """Send heartbeats forever."""
