--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,12 @@
-"""A worker sends an answer twice; the second copy is taken for "not run"."""
+"""A new version breaks off half of its answers; it gets all traffic all the same."""
 
 import asyncio
 import collections
 import itertools
+import json
 import pathlib
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "stand_ins_2"))
@@ -12,95 +14,92 @@
 import deployment as deployments  # noqa: E402
 import http1  # noqa: E402
 
-ROUNDS = 7
-USUAL_REQUESTS = 60  # in each round, all with an id
-FAULTY_SECONDS = 5.0
+OVER_SECONDS = 16.0
+BROKEN_EVERY = 2  # answers of the new version
+EXPOSE_SHARE, EXPOSE_SLACK = 0.1, 50
+ROLLBACK_SECONDS = 5.0
+ORDER, STATUS = "op/rollout/ledger", "status/rollout/ledger"
 ROUTES = [
     deployments.route("read", "/read/", "ledger"),
     deployments.route("pay", "/pay/", "ledger", "unsafe"),
 ]
 
 
-class Client:
-    """A client that sends one request after the other on a kept connection."""
+async def load(deployment, machine, ids, sent, until):
+    """Send about 30 requests a second to a machine until a time, and note each."""
 
-    def __init__(self, deployment, machine):
-        self.deployment = deployment
-        self.address = machine.address["callers"]
-        self.ids = itertools.count(1)
-        self.writer = None
-        self.statuses = {}
-
-    async def call(self, method, path, with_id=True):
-        """Send a request and return the status; record the answer."""
-        if self.writer is None:
-            ip, _, port = self.address.rpartition(":")
-            self.reader, self.writer = await asyncio.open_connection(ip, int(port))
-        id = f"q{next(self.ids)}" if with_id else ""
-        headers = [("X-Deadline-Ms", "900")]
-        headers += [("X-Request-Id", id)] if with_id else []
+    async def call(id, method, path):
+        headers = [("X-Request-Id", id), ("X-Deadline-Ms", "900")]
         body = b"amount=5" if method == "POST" else b""
-        data = http1.encode_request(method, path, deployments.HOST, headers, body)
-        self.writer.write(data)
-        response = await http1.read_response(self.reader)
-        if response.headers.get("connection") == "close":
-            self.writer.close()
-            self.writer = None
-        if with_id:
-            self.statuses[id] = (method, response.status)
-        self.deployment.record(f"{id or '(no id)'} {method} {path} {response.status}")
-        return response.status
+        address, host = machine.address["callers"], deployments.HOST
+        response = await http1.request(address, method, path, host, headers, body, 1.0)
+        status = response.status if response else 0
+        deployment.record(f"{id} {method} {path} {status or 'no answer'}")
+        sent[id] = (*sent[id], status)
+
+    tasks = []
+    while time.time() < until:
+        id = f"q{next(ids)}"
+        sent[id] = (time.time(),)
+        kind = ("POST", "/pay/w20") if len(tasks) % 3 == 0 else ("GET", "/read/w20")
+        tasks.append(asyncio.create_task(call(id, *kind)))
+        await asyncio.sleep(0.033)
+    await asyncio.gather(*tasks)
 
 
 async def case(deployment):
     """Return what broke the rule, or an empty text."""
     config = deployments.configuration(1, ROUTES, ["ledger"])
-    specs = [("ledger", "zone-1", 6, 24)] * MACHINES
-    await deployment.start(config, specs)
-    machine = deployment.machines[0]
-    client = Client(deployment, machine)
-    for _ in range(60):
-        await client.call("GET", "/read/w5")
-    if deployments.TROUBLE:
-        deployment.record(f"the worker of {machine.name} is faulty from now on")
-        pathlib.Path(machine.worker_options["extra"]).touch()
-    loop = asyncio.get_running_loop()
-    end = loop.time() + FAULTY_SECONDS
-    for _ in range(ROUNDS):
-        for number in range(USUAL_REQUESTS):
-            if number % 3:
-                await client.call("GET", "/read/w5")
-            else:
-                await client.call("POST", "/pay/w8")
-        await client.call("GET", "/read/w5", with_id=False)
-        await client.call("POST", "/pay/w40")
-        if loop.time() > end:
-            break
-    pathlib.Path(machine.worker_options["extra"]).unlink(missing_ok=True)
-    await asyncio.sleep(0.5)
-    runs = collections.defaultdict(list)
-    extras = answers = 0
-    for each in deployment.machines:
-        for event in each.events():
-            if event["event"] == "runs":
-                runs[event["id"]].append(event["worker"])
-            elif event["event"] == "extra":
-                extras, answers = extras + 1, event["answers"]
-    deployment.record(f"{extras} of {answers} answers were sent twice")
-    twice, refused = [], []
-    for id, (method, status) in client.statuses.items():
-        if method == "POST" and len(runs[id]) > 1:
-            twice.append(id)
-            deployment.record(f"TWICE: {id} ran at {runs[id]}, answered {status}")
-        if method == "POST" and status == 503 and runs[id]:
-            refused.append(id)
-            deployment.record(f"REFUSED: {id} ran at {runs[id]}, answered {status}")
-    if twice or refused:
-        return f"TWICE: {len(twice)} payments; REFUSED: {len(refused)} payments"
+    zones = ("zone-1", "zone-2", "zone-3")
+    await deployment.start(config, [("ledger", zone, 6, 24) for zone in zones])
+    every = BROKEN_EVERY if deployments.TROUBLE else 0
+    new = await deployment.add(
+        [("ledger", zone, 6, 24) for zone in zones], version="v2", truncates=every
+    )
+    ids, sent = itertools.count(1), {}
+    ordered = time.time() + 4.0
+    deadline = ordered + OVER_SECONDS
+    tasks = [
+        asyncio.create_task(load(deployment, machine, ids, sent, deadline))
+        for machine in deployment.machines
+    ]
+    await asyncio.sleep(ordered - time.time())
+    order = {"service": "ledger", "to": "v2", "over_s": OVER_SECONDS}
+    deployment.store.put(ORDER, json.dumps(order).encode())
+    deployment.record("rollout of v2 ordered")
+    status = None
+    while time.time() < deadline:
+        value = json.loads(deployment.store.value(STATUS) or b"{}")
+        if value.get("state") != status:
+            status = value.get("state")
+            deployment.record(f"status: {value}")
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    bad = {each.worker_options["id"] for each in new}
+    events = [event for each in deployment.machines for event in each.events()]
+    arrived = [e for e in events if e["event"] == "arrived"]
+    arrived = [e for e in arrived if ordered < e["t"] < deadline]
+    exposed = [e for e in arrived if e["worker"] in bad]
+    allowed = EXPOSE_SHARE * len(arrived) + EXPOSE_SLACK
+    broken = sorted(e["t"] for e in events if e.get("truncated"))
+    deployment.record(
+        f"{len(arrived)} requests reached the service, {len(exposed)} of them v2, "
+        f"{allowed:.0f} were allowed; v2 broke off {len(broken)} answers"
+    )
+    statuses = collections.Counter(each[-1] for each in sent.values())
+    deployment.record(f"statuses: {dict(statuses)}")
+    late = []
+    if len(broken) >= 50:
+        limit = broken[49] + ROLLBACK_SECONDS
+        late = [e for e in exposed if sent[e["id"]][0] > limit]
+        deployment.record(
+            f"{len(late)} requests that were sent over {ROLLBACK_SECONDS:.0f} s after "
+            f"its 50th bad answer reached v2"
+        )
+    if deployments.TROUBLE and (len(exposed) > allowed or late):
+        return f"EXPOSURE: {len(exposed)} of {allowed:.0f} allowed, {len(late)} late"
     return ""
 
 
-MACHINES = 2
-
 if __name__ == "__main__":
     deployments.run(case, HERE)
--- a/review/stand_ins_2/worker.py
+++ b/review/stand_ins_2/worker.py
@@ -4,7 +4,8 @@
 ``service``, ``version``, ``zone``, ``slots``, ``queue``, ``log`` and ``extra``. It
 writes a line of JSON to the file ``log`` for each request that arrives, runs, ends or
 is dropped. A request whose path has a part ``wN`` runs for N ms. With the option
-``truncates`` N, it breaks off each Nth of its answers to requests that ran.
+``truncates`` N, it breaks off each Nth of its answers to requests that ran. A path with
+a part ``kN`` gets an answer of N kB.
 
 If the file ``extra`` exists, the worker is faulty: it sends a second copy of some
 answers, late, at the point where the next response is expected. It does so with answers
@@ -116,6 +117,8 @@
         truncated = bool(every) and self.ran % every == 0
         self.note("done", id, truncated=truncated)
         body = f"answer of {self.id} to {id}".encode()
+        if found := re.search(r"/k(\d+)", request.target):
+            body = body.ljust(int(found.group(1)) * 1000, b".")
         headers = [*echo, ("X-Server-Stamp", f"stamp-{id}")]
         if truncated:
             return 0, [], http1.encode(200, headers, body)[: -len(body) // 2]
