--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -247,6 +247,8 @@
     Write the record, and exit with 1 if the rule was broken, 0 if not, 2 if the case
     could not run.
     """
+    # The processes are ended also if the script is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         deployment = Deployment(temporary)
         deployment.record(f"TROUBLE={int(TROUBLE)}")
