--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -248,7 +248,8 @@
     could not run.
     """
     # The processes are ended also if the script is.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda number, frame: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         deployment = Deployment(temporary)
         deployment.record(f"TROUBLE={int(TROUBLE)}")
